Ask for the count of attempts out where a plan has a rate and a cap

Evidence: of one gateway's 3,700 refusals about 3,000 were of inspectorat, the one plan with a rate and a cap of 2 attempts out. For one of its customers the bucket was full (154 of 154 tokens) for over 3 s while both gateways refused nearly all: each had no attempt out and believed 2 and 3 of the other's to be out, a figure that had not been told anew for 2 s. Nothing told it, as a gateway calls the count only when its own attempts change.

Ruled out: backends (9 of 7,390 tries found no room at any), the counter's answers (94% in time and good, 12.8 ms in the middle), and leaks of attempts in the network code (each ended once).

Lines at fault: Balancer::Impl::OnRequest called TellOpen for a held try only where the plan has no rate. Such a try now waits for the cap's count too, where the cap is in doubt and own attempts do not fill it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -53,6 +53,7 @@
 constexpr double kCallsPerAsk = 1.5;    // one to ask and add, at times one to put that right
 constexpr double kAskPatience = 4;      // of the counter's time-out, that a try must have left to be held
 constexpr double kJustTold = 0.9;       // of attempts told, still out: too few have ended to guess
+constexpr double kSureOfRoom = 0.9;     // chance of room under a cap above which its count is not asked for
 constexpr double kOutKeepS = 1;         // s for which a customer's attempts out stay like what was told
 constexpr double kInsideAtFirst = 0.7;                   // share of tries inside, until questions tell
 constexpr double kLearnInside = 0.05, kLearnOwn = 0.3;  // weight of one for the plan, and for the customer
@@ -506,8 +507,13 @@
       if (chance >= 0.5) Charge(&c, r.units, 1);
       Arm(lives_[r.id] = std::move(live), now, out);
       c.waiting.push_back({r.id, r.units, chance >= 0.5});
+      // A cap in doubt is asked about as well: with none of its own attempts out, this gateway would go by what
+      // it was told of the others' for ever, and each of two could refuse on the other's account.
+      const PlanSettings& p = PlanOf(c);
+      if (p.rate <= 0 || (c.open < p.parallel && OpenRoom(c, p, work_[r.cls], now) < kSureOfRoom)) {
+        TellOpen(r.customer, &c, now, out);
+      }
       MaybeCount(r.customer, &c, now, out);
-      if (PlanOf(c).rate <= 0) TellOpen(r.customer, &c, now, out);
       if (!c.calling && !c.out_calling) Settle(r.customer, &c, false, now, out);
       return;
     }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -766,6 +766,44 @@
   }
 }
 
+// Where a plan has a rate and a cap, a try that is held asks about the cap too: what was told of others'
+// attempts long ago does not refuse for ever.
+TEST(Held, UnderARateACapInDoubtIsAskedAboutToo) {
+  Settings s = Site();
+  s.count_timeout_s = 0.03;
+  s.plans[0].parallel = 2;
+  s.plans[0].burst = 100;
+  for (double others : {0.0, 2.0}) {
+    Bench t(s);
+    uint32_t first = t.Ask(1, 0, 1.0, 9, 2);
+    auto answer = [&](double open_total) {  // to each call that is out, once
+      Actions calls;
+      for (const Action& a : t.out) {
+        if (a.kind == ActionKind::kCount) calls.push_back(a);
+      }
+      Actions all;
+      for (const Action& a : calls) {
+        bool units = a.seconds > 10;  // a window's name lives for three of them, an epoch's for 8 s
+        t.Tell(a.tag, units ? std::max(a.amount, 0.0) : open_total);
+        all.insert(all.end(), t.out.begin(), t.out.end());
+      }
+      t.out = all;
+      return calls.size();
+    };
+    while (answer(3) > 0) {  // its own attempt, and two of others
+    }
+    t.End(first, 50, Result::kOk);
+    while (answer(2) > 0) {
+    }
+    t.now += 3;  // within the window of 50 s
+    t.Ask(1, 0, 1.0, 9, 2);
+    EXPECT_FALSE(t.Sent());
+    bool sent = false;
+    for (int i = 0; i < 4 && answer(others) > 0; ++i) sent = sent || t.Sent();
+    EXPECT_EQ(sent, others < 2);
+  }
+}
+
 TEST(Held, ACrowdedCounterIsCalledLess) {
   int calls[2] = {0, 0};
   for (bool crowded : {false, true}) {
