Send a copy of an attempt that its backend has passed over

Evidence: 71 requests in the recording lived beyond 0.45 s, and nearly all of these had one attempt that was sent at once and never ended. The state of their connections at the end: up, the request all written, a read pending, and either no byte of an answer or a whole header and part of its body (578 of 1,633 bytes, for example). Their backends answered other requests all the while. Age, count of uses and idle time of the connections (0 to 160 ms) show no pattern. Such an attempt also holds one of the two places that an inspectorat customer has, for 1.45 s.

Ruled out: stale kept connections, as fresh ones fall silent too; queues at backends, since what was sent later is answered in 15 ms; clients that reset their connections (3.6% of tries within some ms of asking), which nothing here causes or can mend.

Lines at fault: Balancer::Impl::OnTimer left an attempt only where its backend had said nothing at all since. It now does so too where the backend has answered an attempt that was sent later; the backend is not blamed for that. When it looks (half of the aim, or six times the usual answer) and the store of further attempts are as before.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -111,6 +111,7 @@
   double cold_since = 0;             // start told by the list or guessed from failures to connect; 0: warm
   double budget = 0, budget_at = 0;  // work, in s, that may be sent while cold
   double heard = 0;                  // last answer
+  double answered = 0;               // when the latest attempt that has been answered was sent
 };
 
 struct Try {
@@ -768,7 +769,10 @@
     const ClassSettings& c = s_.classes[l.r.cls];
     double took = now - t.sent;
     bool silent = n->heard <= t.sent;
-    if (o.result == Result::kOk || o.result == Result::kFull || o.result == Result::kError) n->heard = now;
+    if (o.result == Result::kOk || o.result == Result::kFull || o.result == Result::kError) {
+      n->heard = now;
+      n->answered = std::max(n->answered, t.sent);
+    }
     switch (o.result) {
       case Result::kOk: {
         if (n->cold_since <= 0) {  // what is sent and turned away tells nothing of what a warm one can do
@@ -852,13 +856,15 @@
     }
     if (l.tries.empty()) return Arm(l, now, out);  // held for the counter
     // A backend that has said nothing since the attempt went out hangs, where a busy one would answer others.
+    // Where it has answered what was sent to it later, the attempt's own connection may have fallen silent.
     const Try& t = l.tries.back();
     Node* n = FindNode(t.node);
     bool silent = t.out && n != nullptr && n->heard <= t.sent;
-    if (silent && l.out == 1 && retry_store_ >= 1 && s_.classes[l.r.cls].effect == Effect::kFree &&
+    bool passed_over = t.out && n != nullptr && n->answered > t.sent;
+    if ((silent || passed_over) && l.out == 1 && retry_store_ >= 1 && s_.classes[l.r.cls].effect == Effect::kFree &&
         MayResend(l, now)) {
       if (s_.parallel_tries) {
-        if (n->out > 1) Fault(n, false, now, out);
+        if (silent && n->out > 1) Fault(n, false, now, out);
         TryAgain(&l, now, out);
       } else if (s_.cancel) {
         Emit(out, ActionKind::kCancel, l.r.id).attempt = static_cast<int>(l.tries.size()) - 1;
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -661,6 +661,33 @@
   EXPECT_NE(t.Got(ActionKind::kSend)->backend, at);
 }
 
+// A connection may fall silent while its backend answers on others: what it has answered was sent later.
+TEST(Attempts, OneOnASilentConnectionOfABackendThatAnswersOthersIsLeft) {
+  for (bool parallel : {false, true}) {
+    Settings s = Site();
+    s.parallel_tries = parallel;
+    Bench t(s);
+    t.Ask(1, 0, 1.4);
+    uint32_t at = t.Got(ActionKind::kSend)->backend;
+    uint64_t tag = t.Got(ActionKind::kTimer)->tag;
+    double check = t.now + t.Got(ActionKind::kTimer)->seconds + 0.001;
+    bool answered = false;
+    for (int i = 0; i < 60 && !answered; ++i) {
+      t.now += 0.001;
+      uint32_t id = t.Ask(1, 0, 1.4, 1000 + static_cast<uint64_t>(i));
+      ASSERT_TRUE(t.Sent());
+      answered = t.Got(ActionKind::kSend)->backend == at;  // the others' stay out, so that it has its turn
+      if (answered) t.End(id, at, Result::kOk);
+    }
+    ASSERT_TRUE(answered);
+    t.now = check;
+    t.out.clear();
+    t.b.OnTimer(t.now, tag, &t.out);
+    EXPECT_EQ(t.Sent(), parallel) << "a copy goes out beside it where that is allowed";
+    EXPECT_EQ(t.Got(ActionKind::kCancel) != nullptr, !parallel) << "else it is given up first";
+  }
+}
+
 // ---- many gateways ----
 
 // A customer that comes in through a hundred gateways; tries may be held for the counter.
