Close connections that bring no first request within 2.5 s

A peer that connects and sends nothing was kept for ever, and one that stopped within its request for 10 s, where an error or a close is owed within 3 s of connecting. Such connections also take descriptors that clients need.

Lines at fault: Connection::Parse() in src/net/client_server.cpp set the only time limit, once bytes had come. Connection::Start() now limits the first request; later ones keep the 10 s, and a client between requests is kept.

The test connects with nothing, garbage without an end, half a header and a body short of a byte; without the change it fails after the old limits. It also states that a 60 MB body is refused at its header.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -14,6 +14,9 @@
 constexpr size_t kMostAhead = 2 * kMaxHeader;
 constexpr auto kLinger = std::chrono::seconds(1);    // for a client to read its last answer
 constexpr auto kPartial = std::chrono::seconds(10);  // for a request to become whole, or an answer to be read
+// For the first request of a connection to become whole: whoever connects and sends nothing, or something that
+// never becomes a request, is owed a close within 3 s.
+constexpr auto kFirst = std::chrono::milliseconds(2500);
 constexpr size_t kMostLingerBytes = size_t{1} << 20;
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
@@ -44,6 +47,7 @@
 
   void Start() {
     Next();
+    LimitReading(kFirst);
     Read();
   }
 
@@ -152,13 +156,14 @@
       error_code ignored;
       socket_.send(asio::buffer(kContinue), 0, ignored);
     }
-    if (!timed_) {
-      timed_ = true;
-      timer_.expires_after(kPartial);
-      timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-        if (!cancelled && state_ == State::kReading) Close();
-      });
-    }
+    if (!timed_) LimitReading(kPartial);
+  }
+  void LimitReading(std::chrono::milliseconds most) {
+    timed_ = true;
+    timer_.expires_after(most);
+    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
+      if (!cancelled && state_ == State::kReading) Close();
+    });
   }
   char Front() const { return *static_cast<const char*>(buffer_.data().data()); }
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -151,6 +151,29 @@
   EXPECT_EQ(Ask(*client, good).status(), 200) << "the framing was sound, so the connection goes on";
 }
 
+// Who connects and never comes to a request is answered or closed soon; a client between requests is kept.
+TEST(Gateway, EndsPeersThatNeverAskSoon) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
+  std::string part = Request("send-lead", 1, 3000, "", "the body");
+  std::vector<std::unique_ptr<Wire>> peers;
+  auto begun = std::chrono::steady_clock::now();
+  for (std::string sent : {std::string(), std::string("no http"), part.substr(0, 60), part.substr(0, part.size() - 1)}) {
+    peers.push_back(site.gateway->Connect());
+    peers.back()->Write(sent);
+  }
+  for (auto& peer : peers) EXPECT_TRUE(peer->Ended());
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(6)) << "2.5 s, on a busy machine";
+  EXPECT_EQ(backend.requests.count(), 1);
+  EXPECT_TRUE(client->Open());
+  EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
+  auto large = site.gateway->Connect();
+  large->Write("POST /send-lead HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + std::string(2000, 'b'));
+  EXPECT_EQ(large->Read().status(), 413) << "at its header, also with the first of its bytes";
+}
+
 // Bytes that come before the answer to the request before them are the next request.
 TEST(Gateway, LosesNoPipelinedBytes) {
   Backend backend([](const Message& m, Wire&) { return Ok(m.body); });
