Reload the addresses of discovery and the counter on SIGHUP

main.cpp now waits for the signal and has the gateway read its configuration again. Discovery is asked at its new address for the whole list at once. The counter's calls go to its new address; connections to the old one take no further call and end when what is out on them is answered, so that nothing is added twice or given up early. A file that cannot be read changes nothing.

The test replaces the file while a request is held.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 
 #include "net/gateway.h"
 
@@ -20,6 +21,21 @@
       std::fprintf(stderr, "closing\n");
       gateway.Shutdown();
     });
+    // The platform replaces the configuration and signals: what it names anew is gone to, the rest goes on.
+    boost::asio::signal_set reload(io, SIGHUP);
+    std::function<void()> await_reload = [&] {
+      reload.async_wait([&](boost::system::error_code error, int) {
+        if (error) return;
+        try {
+          gateway.Reload(ivygw::LoadConfig(path));
+          std::fprintf(stderr, "configuration reloaded\n");
+        } catch (const std::exception& bad) {
+          std::fprintf(stderr, "configuration kept as it was: %s\n", bad.what());
+        }
+        await_reload();
+      });
+    };
+    await_reload();
     auto local = gateway.local();
     std::fprintf(stderr, "%s listens on %s:%d\n", config.name.c_str(), local.address().to_string().c_str(),
                  local.port());
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -40,6 +40,12 @@
 
   bool open() const { return open_; }
   size_t out() const { return calls_.size(); }
+  // Takes no further call; ends once those that are out have been answered.
+  void Retire() {
+    retired_ = true;
+    if (!open_ || calls_.empty()) Close(false);
+  }
+  bool retired() const { return retired_; }
   bool Usable() { return open_ && (!calls_.empty() || !Stale(socket_)); }
 
   void Connect() {
@@ -91,7 +97,7 @@
     auto self = shared_from_this();
     timer_.cancel();
     CloseNow(socket_);
-    client_->Lost(this, failed);
+    client_->Lost(this, failed && !retired_);
     auto calls = std::move(calls_);
     calls_.clear();
     for (auto& call : calls) client_->End(call, call->written ? Result::kTimeout : Result::kConnectFailed);
@@ -147,6 +153,7 @@
                               }
                               if (closed_) return;
                               if (unread_ > kMostUnread) return Close(true);
+                              if (calls_.empty() && retired_) return Close(false);
                               if (calls_.empty()) timer_.cancel();
                               Read();
                             });
@@ -182,7 +189,7 @@
   char buffer_[1024];
   size_t unread_ = 0;
   Clock::time_point heard_{};
-  bool open_ = false, closed_ = false, writing_ = false;
+  bool open_ = false, closed_ = false, writing_ = false, retired_ = false;
 };
 
 CounterClient::CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s,
@@ -203,12 +210,16 @@
 // An idle connection, else a new one while there may be more, else the one with the fewest calls out.
 CounterClient::Connection* CounterClient::Choose() {
   Connection *idle = nullptr, *open = nullptr, *coming = nullptr;
+  size_t usable = 0;
   std::vector<std::shared_ptr<Connection>> all = connections_;
   for (auto& connection : all) {
+    if (connection->retired()) continue;
+    ++usable;
     if (!connection->open()) {
       coming = connection.get();
     } else if (!connection->Usable()) {
       connection->Close(false);
+      --usable;
     } else if (connection->out() == 0) {
       if (idle == nullptr) idle = connection.get();
     } else if (open == nullptr || connection->out() < open->out()) {
@@ -216,7 +227,7 @@
     }
   }
   if (idle != nullptr) return idle;
-  if (coming == nullptr && connections_.size() < kMostConnections && Clock::now() >= not_before_) {
+  if (coming == nullptr && usable < kMostConnections && Clock::now() >= not_before_) {
     auto fresh = std::make_shared<Connection>(this);
     connections_.push_back(fresh);
     fresh->Connect();
@@ -225,6 +236,16 @@
   return open != nullptr ? open : coming;
 }
 
+void CounterClient::Move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  backoff_ = {};
+  not_before_ = {};
+  std::vector<std::shared_ptr<Connection>> old = connections_;
+  for (auto& connection : old) connection->Retire();
+  Start();
+}
+
 void CounterClient::Call(uint64_t name, double amount, double keep_s) {
   auto call = std::make_shared<Pending>();
   call->name = name;
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -21,6 +21,8 @@
   ~CounterClient();
 
   void Start();  // opens a first connection, so that no call waits for it
+  // Calls another address from now on. What is out at the old one may still be answered there.
+  void Move(const tcp::endpoint& address);
   void Call(uint64_t name, double amount, double keep_s);
 
  private:
@@ -38,7 +40,7 @@
   void Lost(Connection* connection, bool failed);
 
   asio::io_context& io_;
-  const tcp::endpoint address_;
+  tcp::endpoint address_;
   const Clock::duration timeout_, connect_timeout_;
   Done done_;
   std::vector<std::shared_ptr<Connection>> connections_;
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -110,6 +110,15 @@
   CloseNow(socket_);
 }
 
+void DiscoveryClient::Move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  CloseNow(socket_);
+  backoff_ = {};
+  whole_next_ = true;  // what the old address had still to tell is not waited for
+  Ask();
+}
+
 void DiscoveryClient::Ask() {
   if (!running_) return;
   uint64_t turn = ++turn_;
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -54,6 +54,8 @@
 
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
+  // Asks at another address from now on, for the whole list first.
+  void Move(const tcp::endpoint& address);
 
  private:
   void Ask();
@@ -64,7 +66,7 @@
   void Failed();
 
   asio::io_context& io_;
-  const tcp::endpoint address_;
+  tcp::endpoint address_;
   const micadock::SiteSettings& site_;
   BackendIds* ids_;
   OnList on_list_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -410,6 +410,11 @@
   });
 }
 
+void Gateway::Reload(const Config& fresh) {
+  discovery_.Move(fresh.discovery);
+  if (counter_ && fresh.has_counter) counter_->Move(fresh.counter);
+}
+
 void Gateway::Shutdown() {
   if (shutdown_at_) return;
   shutdown_at_ = Clock::now();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -37,6 +37,8 @@
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Shutdown();
+  // Goes to the addresses of discovery and the counter that `fresh` names; all else stays as it was.
+  void Reload(const Config& fresh);
 
  private:
   struct Attempt {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -401,6 +401,13 @@
     unlink(path_.c_str());
   }
   void Signal(int signal) { kill(pid_, signal); }
+  // Replaces the configuration file as a whole and says so.
+  void Reconfigure(const json& config) {
+    std::string fresh = path_ + ".new";
+    std::ofstream(fresh) << config.dump();
+    EXPECT_EQ(std::rename(fresh.c_str(), path_.c_str()), 0);
+    Signal(SIGHUP);
+  }
   int Exit() {
     int status = 0;
     waitpid(pid_, &status, 0);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -385,6 +385,29 @@
   EXPECT_EQ(told(), "two") << "garbage changes nothing, and is asked for again";
 }
 
+// SIGHUP ends nothing: what is held goes on, and discovery and the counter are those that the file names now.
+TEST(Gateway, GoesToTheAddressesOfTheReplacedConfigurationOnSighup) {
+  Event held, go;
+  Backend one([&](const Message&, Wire&) { return held.Add(), go.Wait(), Ok("one"); });
+  Backend two(Says(Ok("two")));
+  Site site(json::array({Entry("a", one.port())}));
+  Discovery discovery;
+  discovery.Set(json::array({Entry("b", two.port())}));
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  auto early = site.gateway->Connect(), late = site.gateway->Connect();
+  early->Write(Request("send-lead"));
+  ASSERT_TRUE(held.Wait());
+  site.gateway->Reconfigure(Config(discovery.port(), counter.port()));
+  ASSERT_TRUE(discovery.Told());
+  std::string another = Request("quote", 2);  // of a customer not seen before, which is asked about at once
+  EXPECT_EQ(Ask(*late, another.replace(another.find("b4d65521"), 8, "b4d65522")).body, "two");
+  EXPECT_TRUE(counter.calls.Wait());
+  go.Add();
+  EXPECT_EQ(early->Read().body, "one");
+  site.gateway->Reconfigure({{"name", "nothing else"}});  // what cannot be read changes nothing
+  EXPECT_EQ(Ask(*late, Request("quote", 2)).body, "two");
+}
+
 TEST(Gateway, ServesByTheKnownListWhileDiscoveryIsSilent) {
   Backend backend(Says(Ok("x")));
   Discovery discovery;
