Send cold backends first while their budget lasts

Half of the fleet stood idle while the rest was full.

Ruled out: the budget itself (it allows a cold one 0.8 of its fraction of a warm one's work) and the list (the new ones were told of). Each gateway of a hundred has a budget of a request in some 25 s for a cold one, and when that has come due, Pick compared it at its usual cost with the few backends that the gateway knows as quick, which win. The budget can't be saved up, so it lapsed. Harmless where one gateway asks all backends many times a second.

Wrong: the cost in Pick, which left to taste what the budget had given out. A cold backend that has room is now taken before any warm one; the budget, unchanged, stays the bound.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -38,6 +38,7 @@
 constexpr double kColdShare = 0.4;                // of the tip multiple that all gateways use together
 constexpr double kWarmShare = 0.8;  // of what a warm backend serves, that a cold one is sent for its fraction
 constexpr double kWarmS = 2;        // s over which that is taken
+constexpr double kColdFirst = 0.05;  // of its cost, for a cold one that has budget left: it comes first
 constexpr double kColdSaveS = 0.3;  // s of a cold backend's budget that may be saved up
 constexpr double kSteer = 0.02;      // of the share let in, at least, for an answer off by the queue target,
 constexpr double kSteerS = 0.8;      // s in which answers off by that change it by its like, if they are rare
@@ -681,7 +682,8 @@
   }
 
   // A backend that stays slow with one attempt out is given rests, so that it can work off what it holds.
-  // Among the others: least expected time over own attempts out and learned speed; other zones cost more.
+  // Among the others: least expected time over own attempts out and learned speed; other zones cost more. A cold
+  // one's budget is its share, which a fleet of gateways that each keep to the few quick ones would never send.
   Node* Pick(const Live& l, double now) {
     int ready = 0, aside = 0;
     warm_ = 0;
@@ -700,6 +702,7 @@
       if (n.cold_since > 0 && !ColdRoom(&n, now)) continue;
       double cost = n.speed * (n.out + 1) * (1 + 10 * n.fails * n.fails) * (0.95 + 0.1 * Random());
       if (n.info.zone != s_.zone) cost *= 1.5;
+      if (n.cold_since > 0) cost *= kColdFirst;
       for (const Try& t : l.tries) {
         if (t.node == n.info.id) cost += 100;
       }
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1047,6 +1047,50 @@
   EXPECT_LT(sent, 10);
 }
 
+// A gateway of many has its few quick backends, and the part of a cold one that falls to it is less than a
+// request at a time. What all of them may send a cold one must reach it all the same.
+TEST(Many, AColdBackendGetsWhatTheFleetMaySendIt) {
+  Settings s = Site();
+  s.gateways = 40;
+  s.may_count = false;
+  int cold = 0, warm = 0;
+  for (uint64_t g = 0; g < 40; ++g) {
+    Actions out;
+    Balancer b(s, 1000 + g, 100, &out);
+    std::vector<Backend> list;
+    for (uint32_t id = 50; id < 56; ++id) list.push_back({.id = id, .weight = 1});
+    b.OnList(100, ListKind::kCached, list, &out);
+    for (uint32_t i = 0; i < 100; ++i) {  // five a second; each is answered before the next one
+      double now = 100 + i * 0.2;
+      if (i == 50) {
+        Backend restarted{.id = 50, .weight = 1, .started_s = now};
+        b.OnList(now, ListKind::kDelta, {restarted}, &out);
+      }
+      Request r;
+      r.id = i + 1;
+      r.customer = 1000 + i;
+      r.left_s = 1;
+      r.units = 1;
+      out.clear();
+      b.OnRequest(now, r, &out);
+      auto send = std::find_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
+      ASSERT_NE(send, out.end());
+      uint32_t at = send->backend;
+      if (i >= 50) (at == 50 ? cold : warm) += 1;
+      Outcome o;
+      o.request = r.id;
+      o.result = Result::kOk;
+      o.finished = true;
+      o.backend = at;
+      out.clear();
+      b.OnOutcome(now + (at > 52 ? 0.05 : 0.15), o, &out);
+    }
+  }
+  double even = warm / 5.0;  // to a warm one; on average over these 10 s a cold one is worth half of that
+  EXPECT_GT(cold, even * 0.2);
+  EXPECT_LT(cold, even * 0.6);
+}
+
 TEST(Many, SlowAnswersOfAllBackendsTogetherLowerWhatIsLetIn) {
   Settings s = Site();
   s.may_count = false;
