Weigh an answer more in a backend's speed the longer none came from it

Seen: at size a gateway hears from a backend every two to three seconds (six backends in ten seconds each), and Learn moved its speed by a twentieth an answer, as where answers come three a second.

Ruled out: chance in the choice.

Wrong: the fixed weight. It now grows with the time since the last answer, as that of the pace does; at three answers a second it is the twentieth that it was.

A test of caps now has a counter that adds up.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -35,6 +35,8 @@
 constexpr double kQueueAt = 0.27, kEasyAt = 0.2;  // of the aim, mean answer: a queue; none worth the name
 constexpr double kPaceWeight = 0.15;              // of one answer in that mean, more where answers are rare:
 constexpr double kPaceS = 0.7;                    // s after which what was known of the pace is old
+constexpr double kSpeedLeast = 0.05, kSpeedMost = 0.15;  // weight of one answer in a backend's speed,
+constexpr double kSpeedS = 20;                           // more the longer none came, as a share of this
 constexpr double kColdShare = 0.4;                // of the tip multiple that all gateways use together
 constexpr double kWarmShare = 0.8;  // of what a warm backend serves, that a cold one is sent for its fraction
 constexpr double kWarmS = 2;        // s over which that is taken
@@ -682,8 +684,9 @@
   }
 
   // A backend that stays slow with one attempt out is given rests, so that it can work off what it holds.
-  // Among the others: least expected time over own attempts out and learned speed; other zones cost more. A cold
-  // one's budget is its share, which a fleet of gateways that each keep to the few quick ones would never send.
+  // Among the others: least expected time over own attempts out and learned speed; other zones cost more. A
+  // cold one's budget is its share, which a fleet of gateways that each keep to the few quick ones would
+  // never send.
   Node* Pick(const Live& l, double now) {
     int ready = 0, aside = 0;
     warm_ = 0;
@@ -874,11 +877,13 @@
         double units = o.true_units > 0 ? o.true_units : l.r.units, &mean = class_units_[l.r.cls];
         mean += (mean > 0 ? kLearn : 1) * (units - mean);
         double size = units / mean, usual = work_[l.r.cls];
-        n->speed += 0.05 * (std::min(took / (usual * size), 5.0) - n->speed);
         work_[l.r.cls] += kLearn * (std::min(took, c.aim_s) - usual);
         // Holding the mean answer well inside the aim keeps queues short whatever made them: overload, a slow
         // or overdriven backend, a herd. May refuse too much where work alone takes a third of the aim.
-        double weight = std::max(kPaceWeight, 1 - std::exp(-(now - n->paced_at) / kPaceS));
+        double since = now - n->paced_at;
+        double weight = std::max(kPaceWeight, 1 - std::exp(-since / kPaceS));
+        double speed = took / (usual * size);
+        n->speed += std::clamp(since / kSpeedS, kSpeedLeast, kSpeedMost) * (std::min(speed, 5.0) - n->speed);
         n->paced_at = now;
         double even = took - usual * (size - 1);  // the request's own size is no sign of a queue
         n->pace += weight * (std::clamp(even / c.aim_s, 0.0, 2.0) - n->pace);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -976,7 +976,8 @@
   for (double others : {0.0, 2.0}) {
     Bench t(s);
     uint32_t first = t.Ask(1, 0, 1.0, 9, 2);
-    auto answer = [&](double open_total) {  // to each call that is out, once
+    double told = 0;
+    auto answer = [&](double out_elsewhere) {  // to each call that is out, once
       Actions calls;
       for (const Action& a : t.out) {
         if (a.kind == ActionKind::kCount) calls.push_back(a);
@@ -984,13 +985,14 @@
       Actions all;
       for (const Action& a : calls) {
         bool units = a.seconds > 10;  // a window's name lives for three of them, an epoch's for 8 s
-        t.Tell(a.tag, units ? std::max(a.amount, 0.0) : open_total);
+        if (!units) told += a.amount;
+        t.Tell(a.tag, units ? std::max(a.amount, 0.0) : out_elsewhere + told);
         all.insert(all.end(), t.out.begin(), t.out.end());
       }
       t.out = all;
       return calls.size();
     };
-    while (answer(3) > 0) {  // its own attempt, and two of others
+    while (answer(2) > 0) {
     }
     t.End(first, 50, Result::kOk);
     while (answer(2) > 0) {
@@ -1073,7 +1075,8 @@
       r.units = 1;
       out.clear();
       b.OnRequest(now, r, &out);
-      auto send = std::find_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
+      auto send =
+          std::find_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
       ASSERT_NE(send, out.end());
       uint32_t at = send->backend;
       if (i >= 50) (at == 50 ? cold : warm) += 1;
@@ -1091,6 +1094,27 @@
   EXPECT_LT(cold, even * 0.6);
 }
 
+// A gateway of many sees a backend every few seconds: an answer tells it more than one of many would.
+TEST(Many, ASlowedBackendIsLeftAfterFewRareAnswers) {
+  Settings s = Site();
+  s.may_count = false;
+  Bench t(s, 2);
+  int quick = 0, slowed = 0;
+  uint32_t favourite = 0;
+  for (int i = 0; i < 200; ++i) {  // one in 3 s
+    t.now += 3;
+    uint32_t id = t.Ask(1, 0, 1.4, 1000 + static_cast<uint64_t>(i));
+    ASSERT_TRUE(t.Sent());
+    uint32_t at = t.Got(ActionKind::kSend)->backend;
+    if (i == 0) favourite = at;
+    (i < 150 ? quick : slowed) += at == favourite;
+    t.now += at == favourite ? (i < 150 ? 0.02 : 0.14) : 0.05;
+    t.End(id, at, Result::kOk);
+  }
+  EXPECT_GT(quick, 100) << slowed;
+  EXPECT_LE(slowed, 2);
+}
+
 TEST(Many, SlowAnswersOfAllBackendsTogetherLowerWhatIsLetIn) {
   Settings s = Site();
   s.may_count = false;
