Tell only who is beyond a known store to stay away for long

Every one was told to stay away for max_retry_after_s, 2 s, longer than the aim of 1.2 s: the client's whole request was lost by one gateway's ignorance, and all came back in step. Alone, a gateway of three knows its customers and is seldom wrong.

Ruled out: letting such tries in instead.

Wrong: OnRequest and Settle, which named the longest stay-away for every kOver. It is named now only where the store is known and does not hold the units; else the refusal is as prompt but leaves the client its own back-off, and the next try meets another gateway or a told one.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -357,7 +357,7 @@
       if (node != nullptr) {
         Admit(&it->second, c, verdict, node, true, now, out);
       } else if (live) {
-        Refuse(w.request, verdict == Verdict::kOver ? s_.max_retry_after_s : 0, out);
+        Refuse(w.request, verdict == Verdict::kOver ? StayAway(*c, it->second.r) : 0, out);
         lives_.erase(it);
       }
     }
@@ -445,6 +445,14 @@
     return Verdict::kOver;
   }
 
+  // Who is beyond a store that is known is told to stay away as long as clients heed. Where the store may
+  // have room (a cap is taken, the ceiling's part is used up, the counter has not told) the next try may well
+  // be let in, here or elsewhere, and one kept away for longer than its aim is lost.
+  double StayAway(const Customer& c, const Request& r) const {
+    bool known = c.known || Entries(c) < 2;
+    return PlanOf(c).rate > 0 && (!known || c.tokens >= r.units) ? 0 : s_.max_retry_after_s;
+  }
+
   // A try is held for the counter's answer, for milliseconds, when that could change the verdict and is worth
   // more than the call's price and crowding: near the allowance, and where the customer is seen seldom.
   bool WorthAsking(const Customer& c, const Request& r, double chance, double now) {
@@ -574,7 +582,7 @@
       if (!c.calling && !c.out_calling) Settle(r.customer, &c, false, now, out);
       return;
     }
-    if (verdict == Verdict::kOver) return Refuse(r.id, s_.max_retry_after_s, out);
+    if (verdict == Verdict::kOver) return Refuse(r.id, StayAway(c, r), out);
     Node* node = Crowded(r, verdict != Verdict::kInside) ? nullptr : Pick(live, now);
     if (node == nullptr) {
       if (verdict == Verdict::kInside) MarkPressed(now);
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1115,6 +1115,23 @@
   EXPECT_LE(slowed, 2);
 }
 
+// Refused because the counter has not told: the store may have room, so nobody is kept away for long.
+TEST(Many, OnlyWhoIsBeyondAKnownStoreIsKeptAway) {
+  Bench t(Many());
+  ASSERT_EQ(t.Ask(1, 0, 0.1, 9, 100), 1u);  // too little time left to be held
+  ASSERT_TRUE(t.Sent());
+  const Action* count = t.Got(ActionKind::kCount);
+  ASSERT_NE(count, nullptr);
+  uint64_t name = count->tag;
+  t.Ask(1, 0, 0.1, 9, 100);
+  ASSERT_NE(t.Got(ActionKind::kRefuse), nullptr);
+  EXPECT_EQ(t.Got(ActionKind::kRefuse)->seconds, 0);
+  t.Tell(name, 40);  // all of the store and more
+  t.Ask(1, 0, 0.1, 9, 100);
+  ASSERT_NE(t.Got(ActionKind::kRefuse), nullptr);
+  EXPECT_EQ(t.Got(ActionKind::kRefuse)->seconds, 2);
+}
+
 TEST(Many, SlowAnswersOfAllBackendsTogetherLowerWhatIsLetIn) {
   Settings s = Site();
   s.may_count = false;
