Come again to a refusing discovery at random times, and not for whole lists

Fewer calls do not bring the lists: with up to 30 s between calls one gateway of a hundred got one.

Wrong: Failed() in discovery_client.cpp, whose back-off had no chance in it and stopped at a second for any fleet, and which took a refusal for an agent that is gone. The wait is now random up to the back-off, which grows to 0.1 s for each gateway (a second at least, as before), and a refused watch is asked for again as a watch; whole lists are for agents that were silent or gone.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -16,6 +16,7 @@
     10000;  // of a watch: a silent agent is noticed this and kPatience after its last word
 constexpr auto kPatience = std::chrono::milliseconds(2000);
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
+constexpr auto kBackoffEach = std::chrono::milliseconds(100);  // of a fleet's gateways, that much for each
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
   auto it = std::find(names.begin(), names.end(), PlainName(name));
@@ -92,7 +93,7 @@
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint address,
                                  const micadock::SiteSettings& site, BackendIds* ids, OnList on_list,
-                                 OnFailed on_failed)
+                                 OnFailed on_failed, int gateways, uint64_t seed)
     : io_(io),
       address_(address),
       site_(site),
@@ -100,7 +101,9 @@
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
       socket_(io),
-      timer_(io) {}
+      timer_(io),
+      backoff_most_(std::max<Clock::duration>(kBackoffMost, gateways * kBackoffEach)),
+      rng_(seed) {}
 
 void DiscoveryClient::Start() {
   if (running_) return;
@@ -185,7 +188,7 @@
 }
 
 void DiscoveryClient::Answered() {
-  if (parser_->get().result_int() != 200) return Failed();
+  if (parser_->get().result_int() != 200) return Failed(true);
   BackendList list;
   try {
     list = ParseList(json::parse(parser_->get().body()), site_, ids_);
@@ -201,14 +204,17 @@
   on_list_(std::move(list));
 }
 
-void DiscoveryClient::Failed() {
+void DiscoveryClient::Failed(bool refused) {
   uint64_t turn = ++turn_;
   CloseNow(socket_);
-  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, kBackoffMost);
+  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, backoff_most_);
   // A watch that broke goes on after the same version. After a longer gap the whole list is asked for again,
-  // so that no change is missed whatever the agent remembers.
-  if (backoff_ > 2 * kBackoffLeast) whole_next_ = true;
-  timer_.expires_after(backoff_);
+  // so that no change is missed whatever the agent remembers. One that refuses is there and remembers: a
+  // whole list from each gateway would only add to what discovery can't carry.
+  if (!refused && backoff_ > 2 * kBackoffLeast) whole_next_ = true;
+  // At random up to the back-off: gateways that failed together don't come again together.
+  std::uniform_real_distribution<double> part(0, 1);
+  timer_.expires_after(std::chrono::duration_cast<Clock::duration>(backoff_ * part(rng_)));
   timer_.async_wait([this, turn](error_code cancelled) {
     if (!cancelled && turn == turn_) Ask();
   });
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,7 +52,7 @@
   using OnFailed = std::function<void()>;
 
   DiscoveryClient(asio::io_context& io, tcp::endpoint address, const micadock::SiteSettings& site,
-                  BackendIds* ids, OnList on_list, OnFailed on_failed);
+                  BackendIds* ids, OnList on_list, OnFailed on_failed, int gateways, uint64_t seed);
 
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
@@ -64,7 +65,7 @@
   void Send();
   void Read();
   void Answered();
-  void Failed();
+  void Failed(bool refused = false);  // refused: answered with a no
 
   asio::io_context& io_;
   tcp::endpoint address_;
@@ -80,6 +81,8 @@
   std::optional<uint64_t> index_;
   uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
   Clock::duration backoff_{};
+  const Clock::duration backoff_most_;
+  std::mt19937_64 rng_;
   bool running_ = false, whole_next_ = true;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -173,7 +173,8 @@
               b.OnList(now, ListKind::kFailed, {}, out);
             });
             ready_ = true;  // by the list as last known
-          }),
+          },
+          config.settings.gateways, config.seed),
       timer_(io),
       sibling_timer_(io),
       drain_timer_(io),
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,4 +1,6 @@
 // The gateway over loopback sockets: each trap that its code guards against, seen from outside.
+#include <atomic>
+#include <chrono>
 #include <memory>
 #include <sstream>
 
@@ -451,6 +453,46 @@
   EXPECT_EQ(Ask(*client, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
 }
 
+// Discovery that can't carry the fleet answers 503. Gateways come again at times of their own, and go on from
+// the version that they have: whole lists from all of them would keep it down.
+TEST(Discovery, GatewaysThatAreRefusedTogetherDoNotComeAgainTogether) {
+  constexpr int kAsks = 6;  // of watches, after the first whole list
+  std::chrono::steady_clock::duration sixth[2];
+  for (uint64_t seed : {1, 2}) {
+    boost::asio::io_context io(1);
+    std::atomic<int> watches{0}, whole{0};
+    std::string list = json{{"index", 4}, {"snapshot", true}, {"endpoints", json::array()}}.dump();
+    Server server([&](Wire& wire) {
+      for (Message ask = wire.Read(); ask.whole; ask = wire.Read()) {
+        bool watch = ask.head.find("after=4") != std::string::npos;
+        ++(watch ? watches : whole);
+        wire.Write(whole == 1 && !watch ? Ok(list)
+                                        : "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+    micadock::SiteSettings site;
+    ivygw::BackendIds ids;
+    int failed = 0;
+    auto began = std::chrono::steady_clock::now();
+    ivygw::DiscoveryClient client(
+        io, {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port())}, site,
+        &ids, [](const ivygw::BackendList&) {},
+        [&] {
+          if (++failed == kAsks) io.stop();
+        },
+        100, seed);
+    client.Start();
+    io.run();
+    sixth[seed - 1] = std::chrono::steady_clock::now() - began;
+    client.Stop();
+    server.Stop();
+    EXPECT_EQ(whole, 1);
+    EXPECT_EQ(watches, kAsks);
+  }
+  auto apart = std::chrono::abs(sixth[0] - sixth[1]);
+  EXPECT_GT(apart, std::chrono::milliseconds(100));
+}
+
 TEST(Gateway, ServesWithACounterThatFails) {
   for (std::string answer :
        {"", "-BUSY full\r\n", "-ERR no\r\n", "garbage\r\n", "$999999999\r\n", "$3\r\nabc\r\n"}) {
