Ask tries that a store may have room for back in about an answer's time

Seen: since such refusals (cap taken, ceiling's part used up, counter not told yet) no longer name the longest stay-away, they named none, so that clients fell back on their own wait and the operators' rule (say when to come back) was met for quotas that are known alone.

Those stay as they were.

Wrong: StayAway, which gave nought.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -447,10 +447,12 @@
 
   // Who is beyond a store that is known is told to stay away as long as clients heed. Where the store may
   // have room (a cap is taken, the ceiling's part is used up, the counter has not told) the next try may well
-  // be let in, here or elsewhere, and one kept away for longer than its aim is lost.
-  double StayAway(const Customer& c, const Request& r) const {
+  // be let in, here or elsewhere, and one kept away for longer than its aim is lost: it is asked back in
+  // about the time of an answer, at random, so that those refused together don't come together.
+  double StayAway(const Customer& c, const Request& r) {
     bool known = c.known || Entries(c) < 2;
-    return PlanOf(c).rate > 0 && (!known || c.tokens >= r.units) ? 0 : s_.max_retry_after_s;
+    if (PlanOf(c).rate <= 0 || (known && c.tokens < r.units)) return s_.max_retry_after_s;
+    return std::min(s_.max_retry_after_s, work_[r.cls] * (0.5 + Random()));
   }
 
   // A try is held for the counter's answer, for milliseconds, when that could change the verdict and is worth
