--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -133,7 +133,7 @@
   std::vector<Try> tries;
   int out = 0;
   int try_limit = 0;  // as the settings were when it came
-  bool parallel = false;
+  bool parallel = false, cancel = false;
   bool spent = false;  // its body has gone and is not held
   bool done = false, began = false, inside = false, may_have_run = false;
   double ran_at = 0;  // when the first attempt that may have run was sent
@@ -157,38 +157,89 @@
 class Balancer::Impl {
  public:
   Impl(const Settings& s, uint64_t seed, double now, Actions* out) : s_(s), rng_(seed), start_(now) {
-    Extend();
+    PreparedSettings p = Prepare(s, {});
+    work_ = std::move(p.work);
+    class_units_ = std::move(p.class_units);
+    longest_left_ = std::move(p.longest_left);
+    inside_ = std::move(p.inside);
     if (!s_.push_discovery) Emit(out, ActionKind::kSubscribe);
   }
 
   const PlanSettings& PlanOf(const Customer& c) const { return s_.plans[c.plan]; }
-  void Extend() {  // the tables by class and plan, for those that the settings have added
-    for (size_t i = work_.size(); i < s_.classes.size(); ++i) work_.push_back(s_.classes[i].aim_s * kWorkPrior);
-    class_units_.resize(s_.classes.size(), 0);
-    longest_left_.resize(s_.classes.size(), 0);
-    inside_.resize(s_.plans.size(), kInsideAtFirst);
+  // The tables by class and plan, for those that the settings have added.
+  static void Extend(PreparedSettings* p) {
+    const Settings& s = p->settings;
+    for (size_t i = p->work.size(); i < s.classes.size(); ++i) p->work.push_back(s.classes[i].aim_s * kWorkPrior);
+    p->class_units.resize(s.classes.size(), 0);
+    p->longest_left.resize(s.classes.size(), 0);
+    p->inside.resize(s.plans.size(), kInsideAtFirst);
+  }
+
+  PreparedSettings Prepare(const Settings& settings, const Places& renewed) const {
+    PreparedSettings p{settings, work_, class_units_, longest_left_, inside_};
+    Extend(&p);
+    for (int i : renewed.classes) {
+      p.work[i] = settings.classes[i].aim_s * kWorkPrior;
+      p.class_units[i] = p.longest_left[i] = 0;
+    }
+    for (int i : renewed.plans) p.inside[i] = kInsideAtFirst;
+    return p;
+  }
+
+  Places InUse() const {
+    Places in_use;
+    for (const auto& [id, c] : customers_) in_use.plans.insert(c.plan);
+    for (const auto& [id, l] : lives_) {
+      in_use.classes.insert(l.r.cls);
+      in_use.plans.insert(l.r.plan);
+      in_use.zones.insert(l.ran_zone);
+    }
+    for (const Node& n : nodes_) {
+      in_use.zones.insert(n.info.zone);
+      in_use.kinds.insert(n.info.kind);
+    }
+    return in_use;
   }
 
   // Buckets are filled by the old figures up to now and carry over: new ones only cut them.
-  void OnSettings(double now, const Settings& settings) {
+  void OnSettings(double now, PreparedSettings&& fresh) noexcept {
     for (auto& [id, c] : customers_) Refill(&c, now);
-    std::vector<PlanSettings> before = std::exchange(s_, settings).plans;
-    Extend();
+    const std::vector<PlanSettings> before = std::exchange(s_, std::move(fresh.settings)).plans;
+    work_ = std::move(fresh.work);
+    class_units_ = std::move(fresh.class_units);
+    longest_left_ = std::move(fresh.longest_left);
+    inside_ = std::move(fresh.inside);
     for (auto& [id, c] : customers_) {
       const PlanSettings &p = PlanOf(c), &old = before[c.plan];
       c.ceiling = std::min(c.ceiling, Cap(p) / Entries(c));
-      if (p.rate == old.rate && p.burst == old.burst) continue;
-      c.tokens = std::min(c.tokens, p.burst);
-      c.others = std::min(c.others, p.rate);
-      if (p.rate <= 0) continue;
-      // Windows of another length have other names at the counter: begun anew with what is known here.
-      c.window = WindowNow(p, now);
-      c.used = c.carried = std::max(0.0, p.burst - c.tokens);
-      c.total = 0;
-      c.known = false;
+      if (p.rate != old.rate || p.burst != old.burst) Rebase(&c, now);
     }
   }
 
+  // Under other figures: what was sent on stays sent, and what has run up stays a debt.
+  void Rebase(Customer* c, double now) const {
+    const PlanSettings& p = PlanOf(*c);
+    c->ceiling = std::min(c->ceiling, Cap(p) / Entries(*c));
+    c->tokens = std::min(c->tokens, p.burst);
+    c->others = std::min(c->others, p.rate);
+    if (p.rate <= 0) return;
+    // Windows of another length have other names at the counter: begun anew with what is known here.
+    c->window = WindowNow(p, now);
+    c->used = c->carried = std::max(0.0, p.burst - c->tokens);
+    c->total = 0;
+    c->known = false;
+  }
+
+  // A customer whose plan the settings have dropped goes by the one that its requests name now.
+  bool MovePlan(Customer* c, int plan, double now) {
+    if (!PlanOf(*c).dropped) return false;
+    Refill(c, now);
+    c->plan = plan;
+    c->inside = inside_[plan];
+    Rebase(c, now);
+    return true;
+  }
+
   // Places through which a customer may arrive. Processes of one gateway count as so many, which share its part.
   double Entries(const Customer& c) const { return c.entries * processes_; }
   static double WindowS(const PlanSettings& p) { return p.burst / p.rate; }
@@ -560,7 +611,7 @@
     if (lives_.count(r.id) != 0) return;
     if (!sound) return Refuse(r.id, 0, out);
     Customer& c = Find(r, now);
-    if (c.plan != r.plan) return Refuse(r.id, 0, out);
+    if (c.plan != r.plan && !MovePlan(&c, r.plan, now)) return Refuse(r.id, 0, out);
     double chance;
     Verdict verdict = Judge(&c, r, now, &chance);
     Live live;
@@ -568,6 +619,7 @@
     live.deadline = now + r.left_s;
     live.try_limit = s_.try_limit;
     live.parallel = s_.parallel_tries;
+    live.cancel = s_.cancel;
     longest_left_[r.cls] = std::max(longest_left_[r.cls], r.left_s);
     if (WorthAsking(c, r, chance, now)) {
       if (Crowded(r, false)) return Refuse(r.id, 0, out);
@@ -815,7 +867,7 @@
   void End(Live* l, Actions* out) {
     l->done = true;
     for (size_t i = 0; i < l->tries.size(); ++i) {
-      if (l->tries[i].out && s_.cancel && !l->began) {
+      if (l->tries[i].out && l->cancel && !l->began) {
         Emit(out, ActionKind::kCancel, l->r.id).attempt = static_cast<int>(i);
       }
     }
@@ -956,7 +1008,7 @@
       n->heard = now;
     }
     for (size_t i = 0; i < l.tries.size(); ++i) {  // the answer is this one's: other copies are of no use
-      if (l.tries[i].out && static_cast<int>(i) != attempt && s_.cancel) {
+      if (l.tries[i].out && static_cast<int>(i) != attempt && l.cancel) {
         Emit(out, ActionKind::kCancel, l.r.id).attempt = static_cast<int>(i);
       }
     }
@@ -984,7 +1036,7 @@
       if (l.parallel) {
         if (silent && n->out > 1) Fault(n, false, now, out);
         TryAgain(&l, now, out);
-      } else if (s_.cancel) {
+      } else if (l.cancel) {
         Emit(out, ActionKind::kCancel, l.r.id).attempt = static_cast<int>(l.tries.size()) - 1;
       }
     }
@@ -1050,7 +1102,13 @@
 void Balancer::OnOffline(double t, uint32_t backend, bool offline, Actions*) {
   impl_->OnOffline(t, backend, offline);
 }
-void Balancer::OnSettings(double t, const Settings& settings, Actions*) { impl_->OnSettings(t, settings); }
+Places Balancer::InUse() const { return impl_->InUse(); }
+PreparedSettings Balancer::Prepare(const Settings& settings, const Places& renewed) const {
+  return impl_->Prepare(settings, renewed);
+}
+void Balancer::OnSettings(double t, PreparedSettings&& fresh, Actions*) noexcept {
+  impl_->OnSettings(t, std::move(fresh));
+}
 void Balancer::OnProcesses(double t, int processes, Actions*) { impl_->OnProcesses(t, processes); }
 int Balancer::Avoided(double now) const { return impl_->Avoided(now); }
 void Balancer::OnCount(double t, const CountAnswer& a, Actions* out) { impl_->OnCount(t, a, out); }
--- a/src/balance.h
+++ b/src/balance.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace micadock {
@@ -21,6 +22,7 @@
   double late_share = 0;  // share of the worth earned between aim and deadline
   Effect effect = Effect::kFree;
   Scope scope = Scope::kAll;
+  bool dropped = false;  // a place that only what is open still refers to
   bool operator==(const ClassSettings&) const = default;
 };
 
@@ -35,6 +37,7 @@
   double over_cost = 0;     // share of worth charged beyond the quota
   double price = 0;
   int parallel = 0;  // 0: no cap on attempts out at once
+  bool dropped = false;  // a place that only customers seen before still refer to
 };
 
 struct Settings {
@@ -118,6 +121,17 @@
 };
 using Actions = std::vector<Action>;
 
+// Places of the settings' lists: of classes, plans, and the zones and kinds of backends.
+struct Places {
+  std::unordered_set<int> classes, plans, zones, kinds;
+};
+
+// Settings with all that a change to them has to allocate, so that the change itself can't fail.
+struct PreparedSettings {
+  Settings settings;
+  std::vector<double> work, class_units, longest_left, inside;
+};
+
 // One gateway's decisions. Every call gets the clock, in seconds, and appends actions in order.
 class Balancer {
  public:
@@ -136,8 +150,11 @@
   void OnCount(double now, const CountAnswer& answer, Actions* out);
   // By an operator's hand: nothing goes to the backend until it is called back, whatever lists say.
   void OnOffline(double now, uint32_t backend, bool offline, Actions* out);
-  // New settings. Classes and plans keep their places: one that stays has its old index, others come after.
-  void OnSettings(double now, const Settings& settings, Actions* out);
+  // New settings. What stays keeps its place; what is new has one that nothing refers to (InUse), and those
+  // that had been another's are named as `renewed`: what was learned there is forgotten.
+  Places InUse() const;
+  PreparedSettings Prepare(const Settings& settings, const Places& renewed) const;
+  void OnSettings(double now, PreparedSettings&& fresh, Actions* out) noexcept;
   // How many processes of this gateway are alive: it counts as one, so each has its part of what one may.
   void OnProcesses(double now, int processes, Actions* out);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,21 +1,59 @@
-// ivygw: one real gateway. Starts it, waits for signals, gives the exit status.
+// ivygw: one real gateway. Starts it, waits for signals, gives the exit status. With --check FILE it only
+// says what is wrong with that configuration.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
+#include <fstream>
 #include <functional>
+#include <sstream>
 
 #include "net/gateway.h"
 
-int main() {
+namespace {
+
+constexpr int kUnsound = 1, kUsage = 2;
+
+// As strict as with an operator's put: who checks a file wants to hear of every slip.
+int CheckFile(const char* path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) {
+    std::fprintf(stderr, "ivygw: cannot read %s\n", path);
+    return kUsage;
+  }
+  std::string text(ivygw::kMostFile + 1, '\0');  // one more than is allowed, which is then too long
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<size_t>(in.gcount()));
+  ivygw::Document document = ivygw::ReadDocument(text);
+  ivygw::Findings found;
+  if (document.value.is_object()) found = ivygw::CheckConfig(document.value, ivygw::Author::kOperator);
+  found.faults.insert(found.faults.begin(), document.faults.begin(), document.faults.end());
+  for (const ivygw::Fault& fault : found.faults) std::printf("fault: %s\n", ivygw::OneLine({fault}).c_str());
+  for (const ivygw::Fault& fault : found.warnings)
+    std::printf("warning: %s\n", ivygw::OneLine({fault}).c_str());
+  std::printf("%zu faults, %zu warnings\n", found.faults.size(), found.warnings.size());
+  return found.faults.empty() ? 0 : kUnsound;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc == 3 && std::strcmp(argv[1], "--check") == 0) return CheckFile(argv[2]);
+  if (argc != 1) {
+    std::fprintf(stderr, "usage: ivygw, or ivygw --check FILE\n");
+    return kUsage;
+  }
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const char* path = std::getenv("LB_CONFIG");
     if (path == nullptr) throw micadock::WireError("LB_CONFIG does not name the configuration");
-    ivygw::Config config = ivygw::LoadConfig(path);
-    ivygw::AddEnvironment(&config);
     boost::asio::io_context io(1);
-    ivygw::Gateway gateway(io, config);
+    const char* folder = std::getenv("TMPDIR");
+    ivygw::ConfigKeeper keeper(io, path, folder == nullptr ? "" : folder);
+    ivygw::Config config = ivygw::ParseConfig(keeper.Begin());
+    ivygw::AddEnvironment(&config);
+    ivygw::Gateway gateway(io, config, &keeper);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code error, int) {
       if (error) return;
@@ -27,13 +65,7 @@
     std::function<void()> await_reload = [&] {
       reload.async_wait([&](boost::system::error_code error, int) {
         if (error) return;
-        try {
-          gateway.Reload(ivygw::LoadConfig(path));
-          std::fprintf(stderr, "configuration reloaded\n");
-        } catch (const std::exception& bad) {
-          gateway.RejectReload();
-          std::fprintf(stderr, "configuration kept as it was: %s\n", bad.what());
-        }
+        keeper.Hup();
         await_reload();
       });
     };
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -2,8 +2,7 @@
 
 #include <charconv>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
+#include <unordered_map>
 
 namespace ivygw {
 namespace {
@@ -35,46 +34,67 @@
   }
 }
 
-// Every element of a list is held against the first one of the list that there was.
-void CheckForm(const json& had, const json& has, const std::string& path) {
-  bool same = had.is_number() ? has.is_number() : had.type() == has.type();
-  if (!same) throw WireError("setting is unreadable: " + path);
-  if (had.is_object()) {
-    for (const auto& [key, value] : had.items()) {
-      auto it = has.find(key);
-      std::string at = path.empty() ? key : path + "." + key;
-      if (it == has.end()) throw WireError("setting is missing: " + at);
-      CheckForm(value, *it, at);
+// Puts what `items` holds under `names` into the places of what there was. `stays` says whether one of the
+// same name does; `blank` makes of an item what keeps a dropped one's place.
+template <typename Item, typename Stays, typename Blank>
+void Place(const std::vector<std::string>& old_names, const std::vector<Item>& old_items,
+           const std::unordered_set<int>& in_use, std::vector<std::string>* names, std::vector<Item>* items,
+           std::unordered_set<int>* renewed, std::vector<int>* where, Stays stays, Blank blank) {
+  std::unordered_multimap<std::string, size_t> at;
+  for (size_t i = 0; i < old_names.size(); ++i) {
+    if (!old_names[i].empty()) at.emplace(old_names[i], i);
+  }
+  std::vector<bool> taken(old_names.size(), false);
+  where->assign(names->size(), -1);
+  for (size_t i = 0; i < names->size(); ++i) {
+    auto [from, to] = at.equal_range((*names)[i]);
+    for (auto it = from; it != to && (*where)[i] < 0; ++it) {
+      if (taken[it->second] || !stays(old_items[it->second], (*items)[i])) continue;
+      (*where)[i] = static_cast<int>(it->second);
+      taken[it->second] = true;
     }
-  } else if (had.is_array() && !had.empty()) {
-    if (has.empty()) throw WireError("setting is empty: " + path);
-    for (size_t i = 0; i < has.size(); ++i) CheckForm(had.front(), has[i], path + "." + std::to_string(i));
   }
-}
-
-// Puts `items` under `names` into the places of what there was. `stays` says whether one of the same name
-// does.
-template <typename Item, typename Stays>
-void Place(const std::vector<std::string>& old_names, const std::vector<Item>& old_items,
-           std::vector<std::string>* names, std::vector<Item>* items, Stays stays) {
-  std::vector<std::string> placed_names(old_names.size());
-  std::vector<Item> placed = old_items;
+  size_t size = old_names.size();
+  // Places at the end that nobody needs any more go away; the others wait to be taken.
+  while (size > 0 && !taken[size - 1] && in_use.count(static_cast<int>(size - 1)) == 0) --size;
+  std::vector<size_t> free;
+  for (size_t i = size; i-- > 0;) {
+    if (!taken[i] && in_use.count(static_cast<int>(i)) == 0) free.push_back(i);
+  }
+  std::vector<std::string> placed_names(size);
+  std::vector<Item> placed(old_items.begin(), old_items.begin() + static_cast<ptrdiff_t>(size));
+  for (size_t i = 0; i < size; ++i) {
+    if (!taken[i]) blank(&placed[i]);
+  }
   for (size_t i = 0; i < names->size(); ++i) {
-    size_t at = 0;
-    while (at < old_names.size() && !(old_names[at] == (*names)[i] && stays(old_items[at], (*items)[i])))
-      ++at;
-    if (at == old_names.size()) {
-      placed_names.push_back((*names)[i]);
-      placed.push_back((*items)[i]);
-    } else {
-      placed_names[at] = (*names)[i];
-      placed[at] = (*items)[i];
+    if ((*where)[i] < 0) {
+      if (free.empty()) {
+        free.push_back(placed.size());
+        placed.emplace_back();
+        placed_names.emplace_back();
+      }
+      (*where)[i] = static_cast<int>(free.back());
+      free.pop_back();
+      renewed->insert((*where)[i]);
     }
+    size_t place = static_cast<size_t>((*where)[i]);
+    placed_names[place] = (*names)[i];
+    placed[place] = (*items)[i];
   }
   *names = std::move(placed_names);
   *items = std::move(placed);
 }
 
+// The same for names alone, which stay if they are there.
+void PlaceNames(const std::vector<std::string>& old_names, const std::unordered_set<int>& in_use,
+                std::vector<std::string>* names, std::vector<int>* where) {
+  std::vector<char> old_items(old_names.size()), items(names->size());
+  std::unordered_set<int> renewed;
+  Place(
+      old_names, old_items, in_use, names, &items, &renewed, where, [](char, char) { return true; },
+      [](char*) {});
+}
+
 std::string Text(const json& from, const char* key) {
   auto it = from.find(key);
   if (it == from.end()) throw WireError(std::string("setting is missing: ") + key);
@@ -84,14 +104,6 @@
 
 }  // namespace
 
-std::string PlainName(std::string_view name) {
-  std::string plain(name);
-  for (char& c : plain) {
-    if (c == ' ' || c == ',' || c == '\n' || c == '\r') c = '_';
-  }
-  return plain;
-}
-
 std::string Flatten(const json& settings) {
   std::string out;
   FlattenInto("", settings, &out);
@@ -99,34 +111,22 @@
 }
 
 tcp::endpoint ParseAddress(const std::string& key, const std::string& text) {
-  size_t colon = text.rfind(':');
-  uint16_t port = 0;
-  boost::system::error_code error;
-  boost::asio::ip::address address;
-  bool good = colon != std::string::npos;
-  if (good) {
-    std::string host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-    address = boost::asio::ip::make_address(host, error);
-    auto [end, bad] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    good = !error && bad == std::errc() && end == text.data() + text.size();
-  }
-  if (!good) throw WireError("setting is unreadable: " + key + "=" + text);
-  return {address, port};
+  auto address = ReadAddress(text);
+  if (!address) throw WireError("setting is unreadable: " + key + "=" + text);
+  return {address->host, address->port};
 }
 
-Config ParseConfig(const std::string& text) {
-  json all = json::parse(text, nullptr, false);
+Config ParseConfig(const json& all) {
   if (!all.is_object()) throw WireError("the configuration is not a JSON object");
   Config config;
   config.name = Text(all, "name");
   config.listen = ParseAddress("listen", Text(all, "listen"));
   config.discovery = ParseAddress("discovery", Text(all, "discovery"));
-  if (all.contains("counter") && !all["counter"].is_null()) {
+  if (all.contains("counter") && !all.at("counter").is_null()) {
     config.counter = ParseAddress("counter", Text(all, "counter"));
     config.has_counter = true;
   }
-  if (all.contains("ops") && !all["ops"].is_null()) config.ops = ParseAddress("ops", Text(all, "ops"));
+  if (all.contains("ops") && !all.at("ops").is_null()) config.ops = ParseAddress("ops", Text(all, "ops"));
   std::string seed = Text(all, "seed");
   auto [end, bad] = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
   if (bad != std::errc() || end != seed.data() + seed.size()) {
@@ -149,34 +149,39 @@
   if (settings == all.end()) throw WireError("setting is missing: settings");
   if (!settings->is_object()) throw WireError("setting is unreadable: settings");
   std::string flat = Flatten(*settings);
-  config.form = *settings;
   config.settings = micadock::ParseSettings(flat);
   config.site = micadock::ParseSite(flat);
   if (config.settings.may_count && !config.has_counter) throw WireError("setting is missing: counter");
   return config;
 }
 
-Config MergeSettings(const Config& current, Config fresh) {
-  CheckForm(current.form, fresh.form, "");
-  Place(current.site.classes, current.settings.classes, &fresh.site.classes, &fresh.settings.classes,
-        [](const auto& had, const auto& has) { return had == has; });
-  for (size_t i = 0; i < fresh.site.classes.size(); ++i) {
-    // Nobody asks for it any more, so nothing is to be kept free for it.
-    if (fresh.site.classes[i].empty()) fresh.settings.classes[i].worth = 0;
+Merged MergeSettings(const Config& current, Config fresh, const micadock::Places& in_use) {
+  Merged out;
+  const micadock::SiteSettings& had = current.site;
+  micadock::SiteSettings& has = fresh.site;
+  std::vector<int> where;
+  Place(
+      had.classes, current.settings.classes, in_use.classes, &has.classes, &fresh.settings.classes,
+      &out.renewed.classes, &where, [](const auto& was, const auto& is) { return was == is; },
+      [](auto* dropped) {
+        dropped->worth = 0;  // nobody asks for it any more, so nothing is to be kept free for it
+        dropped->dropped = true;
+      });
+  Place(
+      had.plans, current.settings.plans, in_use.plans, &has.plans, &fresh.settings.plans, &out.renewed.plans,
+      &where, [](const auto&, const auto&) { return true; }, [](auto* dropped) { dropped->dropped = true; });
+  PlaceNames(had.kinds, in_use.kinds, &has.kinds, &where);
+  PlaceNames(had.zones, in_use.zones, &has.zones, &where);
+  if (static_cast<size_t>(fresh.settings.zone) < where.size()) {
+    fresh.settings.zone = where[static_cast<size_t>(fresh.settings.zone)];
   }
-  Place(current.site.plans, current.settings.plans, &fresh.site.plans, &fresh.settings.plans,
-        [](const auto&, const auto&) { return true; });
-  fresh.form = current.form;
-  fresh.sockets = current.sockets;
-  fresh.memory_mb = current.memory_mb;
-  return fresh;
-}
-
-Config LoadConfig(const std::string& path) {
-  std::ifstream in(path);
-  std::stringstream text;
-  if (!in || !(text << in.rdbuf())) throw WireError("cannot read the configuration " + path);
-  return ParseConfig(text.str());
+  fresh.seed = current.seed;
+  fresh.ops = current.ops;
+  fresh.folder = current.folder;
+  fresh.passed_socket = current.passed_socket;
+  fresh.known = nullptr;
+  out.config = std::move(fresh);
+  return out;
 }
 
 void AddEnvironment(Config* config) {
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "balance.h"
+#include "config/check.h"
 #include "wire.h"
 
 namespace ivygw {
@@ -30,7 +31,6 @@
   nlohmann::json known;    // null where the gateway has no list yet
   micadock::Settings settings;
   micadock::SiteSettings site;  // an empty name: a class or plan that the settings have dropped
-  nlohmann::json form;          // the file's settings, as the measure of what a later file must have
 };
 
 // "10.0.0.4:5000"; throws micadock::WireError naming `key` on anything else.
@@ -39,20 +39,24 @@
 // The path=value lines that ParseSettings reads, from the nested form of the same settings.
 std::string Flatten(const nlohmann::json& settings);
 
-// Spaces and commas in names become '_', as they do in the flat form.
-std::string PlainName(std::string_view name);
+// What a new configuration becomes beside the one that runs: its classes, plans, zones and kinds in places
+// that nothing else has.
+struct Merged {
+  Config config;
+  micadock::Places renewed;  // places that were another's, or are new
+};
 
-// `fresh` with its classes and plans in the places of `current`: a class that stays as it was keeps its
-// index, and so does a plan by its name; others come after all that there were. Throws micadock::WireError
-// where `fresh` lacks a setting that `current` had, or has it of another kind.
-Config MergeSettings(const Config& current, Config fresh);
+// What stays, keeps its place: a class that is as it was, a plan, zone or kind by its name. What the settings
+// drop keeps its place, without a name, as long as `in_use` says that something refers to it. The rest has
+// the places that are free, and new ones after all that there were. Keeps what the process has for itself.
+Merged MergeSettings(const Config& current, Config fresh, const micadock::Places& in_use);
 
-// Throws micadock::WireError, in plain words, on what is missing or unreadable.
-Config ParseConfig(const std::string& text);
+// Of a document that CheckConfig found sound. Throws micadock::WireError all the same on what is missing or
+// unreadable.
+Config ParseConfig(const nlohmann::json& document);
 // What the environment adds to the file: LB_OPS goes before `ops`, TMPDIR names the folder, and
 // LB_PASSED_SOCKET the descriptor.
 void AddEnvironment(Config* config);
-Config LoadConfig(const std::string& path);
 
 }  // namespace ivygw
 
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -248,6 +248,11 @@
   Start();
 }
 
+void CounterClient::SetLimits(double timeout_s, double connect_timeout_s) {
+  timeout_ = Seconds(timeout_s);
+  connect_timeout_ = Seconds(connect_timeout_s);
+}
+
 void CounterClient::Call(uint64_t name, double amount, double keep_s) {
   auto call = std::make_shared<Pending>();
   call->name = name;
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -23,6 +23,7 @@
   void Start();  // opens a first connection, so that no call waits for it
   // Calls another address from now on. What is out at the old one may still be answered there.
   void Move(const tcp::endpoint& address);
+  void SetLimits(double timeout_s, double connect_timeout_s);  // for calls and connections from now on
   void Call(uint64_t name, double amount, double keep_s);
 
  private:
@@ -41,10 +42,12 @@
 
   asio::io_context& io_;
   tcp::endpoint address_;
-  const Clock::duration timeout_, connect_timeout_;
+  Clock::duration timeout_, connect_timeout_;
   Done done_;
   std::vector<std::shared_ptr<Connection>> connections_;
-  std::deque<std::shared_ptr<Pending>> waiting_;  // by time: every call has the same time-out
+  // By time, since every call has the same time-out. After a change of it those before hold up a shorter one
+  // by no more than what they still have.
+  std::deque<std::shared_ptr<Pending>> waiting_;
   asio::steady_timer timer_;
   bool armed_ = false;
   Clock::duration backoff_{};
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -3,19 +3,43 @@
 #ifndef IVYGW_NET_COUNTERS_H_
 #define IVYGW_NET_COUNTERS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace ivygw {
 
 struct Counters {
   struct PerClass {
     uint64_t ok = 0, shed = 0, errors = 0;
+    uint64_t dropped = 0;  // 0: in the settings; else the more, the later it went
   };
-  std::map<std::string, PerClass> classes;  // by name; one that the settings drop keeps its counts
+  using Classes = std::map<std::string, PerClass>;
+  Classes classes;  // by name
   uint64_t tries = 0;
-  uint64_t config_applied = 0, config_rejected = 0;
+
+  // Those that the settings drop keep their counts, but for the longest gone where there are many.
+  static constexpr size_t kMostDropped = 64;
+  Classes WithNames(const std::vector<std::string>& names) const {
+    Classes out = classes;
+    std::map<uint64_t, std::string> gone;
+    uint64_t last = 0;
+    for (const auto& [name, count] : out) last = std::max(last, count.dropped);
+    for (auto& [name, count] : out) {
+      if (count.dropped == 0) count.dropped = ++last;
+      gone[count.dropped] = name;
+    }
+    for (const std::string& name : names) {
+      if (name.empty()) continue;
+      PerClass& count = out[name];
+      gone.erase(count.dropped);
+      count.dropped = 0;
+    }
+    for (; gone.size() > kMostDropped; gone.erase(gone.begin())) out.erase(gone.begin()->second);
+    return out;
+  }
 };
 
 }  // namespace ivygw
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -18,10 +18,11 @@
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
 constexpr auto kBackoffEach = std::chrono::milliseconds(100);  // of a fleet's gateways, that much for each
 
+constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
+
 int Position(const std::vector<std::string>& names, const std::string& name) {
-  auto it = std::find(names.begin(), names.end(), PlainName(name));
-  return static_cast<int>(it -
-                          names.begin());  // one that the settings do not name comes after all that they do
+  auto it = name.empty() ? names.end() : std::find(names.begin(), names.end(), PlainName(name));
+  return it == names.end() ? kUnnamed : static_cast<int>(it - names.begin());
 }
 
 }  // namespace
@@ -92,18 +93,29 @@
 }
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint address,
-                                 const micadock::SiteSettings& site, BackendIds* ids, OnList on_list,
-                                 OnFailed on_failed, int gateways, uint64_t seed)
+                                 std::shared_ptr<const micadock::SiteSettings> site, BackendIds* ids,
+                                 OnList on_list, OnFailed on_failed, int gateways, uint64_t seed)
     : io_(io),
       address_(address),
-      site_(site),
+      site_(std::move(site)),
       ids_(ids),
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
       socket_(io),
       timer_(io),
-      backoff_most_(std::max<Clock::duration>(kBackoffMost, gateways * kBackoffEach)),
-      rng_(seed) {}
+      rng_(seed) {
+  SetFleet(gateways);
+}
+
+void DiscoveryClient::SetFleet(int gateways) {
+  backoff_most_ = std::max<Clock::duration>(kBackoffMost, gateways * kBackoffEach);
+}
+
+void DiscoveryClient::SetSite(std::shared_ptr<const micadock::SiteSettings> site) {
+  bool renamed = site->zones != site_->zones || site->kinds != site_->kinds;
+  site_ = std::move(site);
+  if (renamed) AskAnew();  // what was told before was read by the old names
+}
 
 void DiscoveryClient::Start() {
   if (running_) return;
@@ -121,9 +133,13 @@
 void DiscoveryClient::Move(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
+  AskAnew();  // what the old address had still to tell is not waited for
+}
+
+void DiscoveryClient::AskAnew() {
   CloseNow(socket_);
   backoff_ = {};
-  whole_next_ = true;  // what the old address had still to tell is not waited for
+  whole_next_ = true;
   Ask();
 }
 
@@ -191,7 +207,7 @@
   if (parser_->get().result_int() != 200) return Failed(true);
   BackendList list;
   try {
-    list = ParseList(json::parse(parser_->get().body()), site_, ids_);
+    list = ParseList(json::parse(parser_->get().body()), *site_, ids_);
   } catch (const std::exception&) {
     return Failed();  // what is no list changes nothing: the old list is kept
   }
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -51,15 +51,20 @@
   using OnList = std::function<void(BackendList)>;
   using OnFailed = std::function<void()>;
 
-  DiscoveryClient(asio::io_context& io, tcp::endpoint address, const micadock::SiteSettings& site,
-                  BackendIds* ids, OnList on_list, OnFailed on_failed, int gateways, uint64_t seed);
+  DiscoveryClient(asio::io_context& io, tcp::endpoint address,
+                  std::shared_ptr<const micadock::SiteSettings> site, BackendIds* ids, OnList on_list,
+                  OnFailed on_failed, int gateways, uint64_t seed);
 
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
   // Asks at another address from now on, for the whole list first.
   void Move(const tcp::endpoint& address);
+  // Other names of zones and kinds: the whole list is asked for again where they differ.
+  void SetSite(std::shared_ptr<const micadock::SiteSettings> site);
+  void SetFleet(int gateways);
 
  private:
+  void AskAnew();
   void Ask();
   void Connect();
   void Send();
@@ -69,7 +74,7 @@
 
   asio::io_context& io_;
   tcp::endpoint address_;
-  const micadock::SiteSettings& site_;
+  std::shared_ptr<const micadock::SiteSettings> site_;
   BackendIds* ids_;
   OnList on_list_;
   OnFailed on_failed_;
@@ -81,7 +86,7 @@
   std::optional<uint64_t> index_;
   uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
   Clock::duration backoff_{};
-  const Clock::duration backoff_most_;
+  Clock::duration backoff_most_;
   std::mt19937_64 rng_;
   bool running_ = false, whole_next_ = true;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -1,10 +1,11 @@
 #include "net/gateway.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
 
+#include "net/text.h"
+
 namespace ivygw {
 
 using micadock::Action;
@@ -31,38 +32,6 @@
                  kNoticedS = 0.3;     // the other process is looked for; and notices this one
 constexpr double kCloseEveryS = 0.5;  // drained: connections that have gone idle or come idle are looked for
 
-template <typename T>
-bool Number(std::string_view text, T* value, int base = 10) {
-  if (text.empty()) return false;
-  std::from_chars_result result{};
-  if constexpr (std::is_floating_point_v<T>) {
-    result = std::from_chars(text.data(), text.data() + text.size(), *value);
-  } else {
-    result = std::from_chars(text.data(), text.data() + text.size(), *value, base);
-  }
-  return result.ec == std::errc() && result.ptr == text.data() + text.size();
-}
-
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
-  return text;
-}
-
-// The value of `name` in a list of name=value parts.
-std::optional<std::string_view> Part(std::string_view list, char between, std::string_view name) {
-  while (!list.empty()) {
-    size_t end = std::min(list.find(between), list.size());
-    std::string_view part = Trim(list.substr(0, end));
-    list.remove_prefix(std::min(end + 1, list.size()));
-    size_t equals = part.find('=');
-    if (equals != std::string_view::npos && Trim(part.substr(0, equals)) == name) {
-      return Trim(part.substr(equals + 1));
-    }
-  }
-  return std::nullopt;
-}
-
 // A field that may be written in several lines, as one (RFC 9110, 5.2).
 std::string Lines(const ClientMessage& message, const char* name, const char* between) {
   std::string all;
@@ -96,21 +65,6 @@
   return std::string(size, static_cast<size_t>(n)).append(piece).append("\r\n");
 }
 
-// %41 is A; a malformed escape stays as it is.
-std::string Unescaped(std::string_view text) {
-  std::string out;
-  for (size_t i = 0; i < text.size(); ++i) {
-    unsigned code = 0;
-    if (text[i] == '%' && i + 2 < text.size() && Number(text.substr(i + 1, 2), &code, 16)) {
-      out += static_cast<char>(code);
-      i += 2;
-    } else {
-      out += text[i];
-    }
-  }
-  return out;
-}
-
 }  // namespace
 
 ClientCall ReadCall(const ClientMessage& message, const Config& config) {
@@ -145,8 +99,9 @@
   return call;
 }
 
-Gateway::Gateway(asio::io_context& io, const Config& config)
+Gateway::Gateway(asio::io_context& io, const Config& config, ConfigKeeper* keeper)
     : io_(io),
+      keeper_(keeper),
       config_(std::make_shared<const Config>(config)),
       epoch_s_(std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
                std::chrono::duration<double>(Clock::now().time_since_epoch()).count()),
@@ -163,7 +118,7 @@
           },
           [this](uint64_t connection, bool held) { OnClosed(connection, held); }),
       discovery_(
-          io, config.discovery, config.site, &ids_,
+          io, config.discovery, {config_, &config_->site}, &ids_,
           [this](BackendList list) {
             OnList(list, list.full ? ListKind::kFull : ListKind::kDelta);
             ready_ = true;
@@ -179,14 +134,9 @@
       sibling_timer_(io),
       drain_timer_(io),
       shutdown_timer_(io) {
-  for (const std::string& name : config.site.classes) counters_.classes[name];
+  counters_.classes = counters_.WithNames(config.site.classes);
   if (config.has_counter) {
-    counter_.emplace(io, config.counter, config.settings.count_timeout_s, config.site.connect_timeout_s,
-                     [this](micadock::CountAnswer answer) {
-                       Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
-                         b.OnCount(now, answer, out);
-                       });
-                     });
+    counter_ = NewCounter(config);
     counter_->Start();
   }
   BackendList known;
@@ -211,10 +161,21 @@
   if (!config.folder.empty()) WatchSibling();
   if (config.ops) ops_.emplace(io, *config.ops, [this](const OpsCall& call) { return OnOps(call); });
   discovery_.Start();
+  keeper_->Started([this](const nlohmann::json& document) { return Prepare(document); });
 }
 
 Gateway::~Gateway() = default;
 
+std::unique_ptr<CounterClient> Gateway::NewCounter(const Config& config) {
+  return std::make_unique<CounterClient>(io_, config.counter, config.settings.count_timeout_s,
+                                         config.site.connect_timeout_s,
+                                         [this](const micadock::CountAnswer& answer) { OnCount(answer); });
+}
+
+void Gateway::OnCount(const micadock::CountAnswer& answer) {
+  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnCount(now, answer, out); });
+}
+
 // Monotonic, and the same at every gateway as far as the machines' clocks agree when they start.
 double Gateway::Now() const {
   return epoch_s_ + std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
@@ -249,11 +210,7 @@
       return AddTimer(Clock::now() + Seconds(std::max(0.0, action.seconds)), Due::kModule, action.tag);
     case ActionKind::kCount:
       if (counter_) return counter_->Call(action.tag, action.amount, action.seconds);
-      return asio::post(io_, [this, name = action.tag] {
-        Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
-          b.OnCount(now, {name, 0, Result::kConnectFailed}, out);
-        });
-      });
+      return asio::post(io_, [this, name = action.tag] { OnCount({name, 0, Result::kConnectFailed}); });
     case ActionKind::kLog: std::fprintf(stderr, "%s\n", action.text.c_str()); return;
     case ActionKind::kSubscribe: return discovery_.Start();
   }
@@ -544,20 +501,39 @@
   });
 }
 
-void Gateway::Reload(Config fresh) {
-  auto merged = std::make_shared<const Config>(MergeSettings(*config_, std::move(fresh)));
-  config_ = merged;
-  const auto& site = merged->site;
-  for (const std::string& name : site.classes) {
-    if (!name.empty()) counters_.classes[name];
+std::function<void()> Gateway::Prepare(const nlohmann::json& document) {
+  Merged merged = MergeSettings(*config_, ParseConfig(document), balancer_->InUse());
+  auto change = std::make_shared<Change>();
+  change->settings = balancer_->Prepare(merged.config.settings, merged.renewed);
+  change->classes = counters_.WithNames(merged.config.site.classes);
+  change->config = std::make_shared<const Config>(std::move(merged.config));
+  if (change->config->has_counter && !counter_) {
+    change->counter = NewCounter(*change->config);
   }
-  pool_.SetLimits(site.conn_idle_s, site.connect_timeout_s, site.drain_grace_s);
+  return [this, change] { Commit(*change); };
+}
+
+// First what decides about requests, at once and as a whole. Then the clients of discovery and the counter go
+// where the configuration says: they begin there like after a lost connection, and what fails is tried again.
+void Gateway::Commit(Change& change) noexcept {
+  config_ = std::move(change.config);
+  counters_.classes.swap(change.classes);
   Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
-    b.OnSettings(now, merged->settings, out);
+    b.OnSettings(now, std::move(change.settings), out);
   });
-  discovery_.Move(merged->discovery);
-  if (counter_ && merged->has_counter) counter_->Move(merged->counter);
-  ++counters_.config_applied;
+  const auto& site = config_->site;
+  pool_.SetLimits(site.conn_idle_s, site.connect_timeout_s, site.drain_grace_s);
+  ShareLimits();
+  discovery_.SetFleet(config_->settings.gateways);
+  discovery_.SetSite({config_, &site});
+  discovery_.Move(config_->discovery);
+  if (!config_->has_counter) return;  // one that is dropped is not called any more
+  if (!counter_) {
+    counter_.swap(change.counter);
+    counter_->Start();
+  }
+  counter_->SetLimits(config_->settings.count_timeout_s, site.connect_timeout_s);
+  counter_->Move(config_->counter);
 }
 
 void Gateway::BeginTaking() {
@@ -568,6 +544,7 @@
 
 void Gateway::WatchSibling() {
   if (maintenance_.Refresh()) HoldOffline();
+  keeper_->Watch();
   bool two = sibling_.Alive();
   if (two != two_) {
     two_ = two;
@@ -609,6 +586,7 @@
     return get([&] { return Ready() ? OpsAnswer{200, "ready\n"} : OpsAnswer{503, "not ready\n"}; });
   }
   if (path == "/control/counters") return get([&] { return OpsAnswer{200, Figures()}; });
+  if (auto answer = keeper_->OnCall(call)) return *answer;
   if (path == "/control/out-of-service") return put(&Gateway::OutOfService);
   if (path == "/control/in-service") return put(&Gateway::InService);
   if (path.substr(0, kBackends.size()) == kBackends) {
@@ -637,8 +615,7 @@
   line("active", by_connection_.size());
   line("pool_size", listed_.size());
   line("pool_ejected", static_cast<uint64_t>(balancer_->Avoided(Now())));
-  line("config_applied", counters_.config_applied);
-  line("config_rejected", counters_.config_rejected);
+  keeper_->Figures(line);
   return text;
 }
 
@@ -709,6 +686,7 @@
 void Gateway::Shutdown() {
   if (shutdown_at_) return;
   shutdown_at_ = Clock::now();
+  keeper_->Close();
   Drain();
   server_.AskToClose(true);               // there is no way back, so at once
   if (adopted_) server_.StopAccepting();  // what waits is the next process's
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -15,6 +15,7 @@
 #include "net/backend_pool.h"
 #include "net/client_server.h"
 #include "net/config.h"
+#include "net/config_keeper.h"
 #include "net/counter_client.h"
 #include "net/counters.h"
 #include "net/discovery_client.h"
@@ -34,7 +35,7 @@
 
 class Gateway {
  public:
-  Gateway(asio::io_context& io, const Config& config);
+  Gateway(asio::io_context& io, const Config& config, ConfigKeeper* keeper);
   ~Gateway();
 
   tcp::endpoint local() const { return server_.local(); }
@@ -44,10 +45,10 @@
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Shutdown();
-  // Takes the settings and the addresses of discovery and the counter that `fresh` names, all of them or
-  // none: throws micadock::WireError. What is held goes on by the settings that it came under.
-  void Reload(Config fresh);
-  void RejectReload() { ++counters_.config_rejected; }  // the replaced file is of no use
+  // All of a change to what a sound document says that can fail: throws micadock::WireError, and then nothing
+  // has changed. The call that it returns, within the same event, makes the change and does not fail. What is
+  // held goes on by the settings that it came under.
+  std::function<void()> Prepare(const nlohmann::json& document);
 
  private:
   struct Attempt {
@@ -70,6 +71,13 @@
       return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
     }
   };
+  // What runs after the change, whole and apart from what runs now.
+  struct Change {
+    std::shared_ptr<const Config> config;
+    micadock::PreparedSettings settings;
+    Counters::Classes classes;
+    std::unique_ptr<CounterClient> counter;  // where there was none
+  };
   enum class Due { kModule, kGuard };
   struct Timer {
     Clock::time_point at;
@@ -82,6 +90,9 @@
   template <typename Call>
   void Tell(Call call);
   void Act(micadock::Action& action);
+  std::unique_ptr<CounterClient> NewCounter(const Config& config);
+  void OnCount(const micadock::CountAnswer& answer);
+  void Commit(Change& change) noexcept;
   void SendAttempt(const micadock::Action& action);
   void CancelAttempt(uint32_t id, int attempt, uint32_t backend);
   bool OnBegin(uint32_t id, int attempt, const std::string& headers, std::optional<uint64_t> length);
@@ -118,6 +129,7 @@
   bool Ready() const { return taking_ && ready_ && !draining_; }
 
   asio::io_context& io_;
+  ConfigKeeper* const keeper_;
   std::shared_ptr<const Config> config_;
   const double epoch_s_;  // the system's clock at the monotonic clock's zero
   BackendIds ids_;
@@ -130,7 +142,7 @@
   std::set<std::string> held_offline_;  // as the module and the pool were told
   BackendPool pool_;
   ClientServer server_;
-  std::optional<CounterClient> counter_;
+  std::unique_ptr<CounterClient> counter_;
   DiscoveryClient discovery_;
   std::unordered_map<uint32_t, Held> held_;
   std::unordered_map<uint64_t, uint32_t> by_connection_;  // requests that are not answered
--- a/src/net/maintenance.cpp
+++ b/src/net/maintenance.cpp
@@ -1,6 +1,5 @@
 #include "net/maintenance.h"
 
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -17,15 +16,9 @@
   Refresh();
 }
 
-Maintenance::Stamp Maintenance::Now() const {
-  struct stat file {};
-  if (stat(path_.c_str(), &file) != 0) return {};
-  return {file.st_ino, file.st_mtim.tv_sec, file.st_mtim.tv_nsec};
-}
-
 bool Maintenance::Refresh() {
   if (path_.empty()) return false;
-  Stamp now = Now();
+  FileStamp now = StampOf(path_);
   if (now == read_) return false;
   read_ = now;
   std::ifstream in(path_);
@@ -59,7 +52,7 @@
       std::remove(aside.c_str());
       return false;
     }
-    read_ = Now();
+    read_ = StampOf(path_);
   }
   offline_ = std::move(next);
   return true;
--- a/src/net/maintenance.h
+++ b/src/net/maintenance.h
@@ -3,10 +3,11 @@
 #ifndef IVYGW_NET_MAINTENANCE_H_
 #define IVYGW_NET_MAINTENANCE_H_
 
-#include <cstdint>
 #include <set>
 #include <string>
 
+#include "net/file_stamp.h"
+
 namespace ivygw {
 
 class Maintenance {
@@ -21,16 +22,9 @@
   bool Refresh();
 
  private:
-  struct Stamp {
-    uint64_t inode = 0;
-    int64_t seconds = 0, nanoseconds = 0;
-    bool operator==(const Stamp&) const = default;
-  };
-  Stamp Now() const;
-
   std::string path_;
   std::set<std::string> offline_;
-  Stamp read_;
+  FileStamp read_;
 };
 
 }  // namespace ivygw
--- a/src/net/ops_server.cpp
+++ b/src/net/ops_server.cpp
@@ -3,7 +3,8 @@
 namespace ivygw {
 namespace {
 
-constexpr size_t kMostCall = 8192;                         // bytes of a call's head, and of its body
+constexpr size_t kMostHead = 8192;                         // bytes of a call's head
+constexpr size_t kMostAfter = 2 * OpsServer::kMostBody;    // that a caller may send on after its answer
 constexpr auto kWhole = std::chrono::milliseconds(3000);   // for a call to become whole and be answered
 constexpr auto kLinger = std::chrono::milliseconds(1000);  // for the caller to read its answer
 constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
@@ -17,7 +18,8 @@
 
   void Start() {
     Prepare(socket_);
-    Renew(&parser_, kMostCall);
+    Renew(&parser_, kMostBody);
+    parser_->header_limit(kMostHead);
     Limit(kWhole);
     Read();
   }
@@ -51,7 +53,7 @@
                               if (answered_) {
                                 read_after_ += n;
                                 buffer_.clear();
-                                if (read_after_ > kMostCall) return Close();
+                                if (read_after_ > kMostAfter) return Close();
                               } else {
                                 Parse();
                               }
@@ -65,11 +67,15 @@
       buffer_.consume(parser_->put(buffer_.data(), error));
     }
     if (error == http::error::need_more) error = {};
-    if (error || buffer_.size() > kMostCall) return Answer({400, "not a call\n"});
+    if (error == http::error::body_limit) return Answer({413, "a body of at most 131072 bytes\n"});
+    if (error == http::error::header_limit) return Answer({431, "a head of at most 8192 bytes\n"});
+    if (error || (!parser_->is_header_done() && buffer_.size() > kMostHead))
+      return Answer({400, "not a call\n"});
     if (parser_->is_done()) {
       const auto& call = parser_->get();
-      return Answer(
-          server_->on_call_({std::string(View(call.method_string())), std::string(View(call.target()))}));
+      bool framed = call.count(http::field::content_length) > 0 || call.chunked();
+      return Answer(server_->on_call_(
+          {std::string(View(call.method_string())), std::string(View(call.target())), call.body(), framed}));
     }
     if (parser_->is_header_done() && !continued_ &&
         boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -84,8 +90,9 @@
     buffer_.clear();
     message_ = "HTTP/1.1 " + std::to_string(answer.status) + " " +
                std::string(View(http::obsolete_reason(static_cast<http::status>(answer.status)))) +
-               "\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: " +
-               std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
+               "\r\nContent-Type: " + answer.type +
+               "\r\nConnection: close\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n" +
+               answer.body;
     Limit(kLinger);
     WriteAll(socket_, message_, [self = shared_from_this(), this](error_code error) {
       if (closed_) return;
@@ -97,7 +104,7 @@
   OpsServer* server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_{kMostCall + 2 * kReadChunk};
+  boost::beast::flat_buffer buffer_{kMostHead + 2 * kReadChunk};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string message_;
   size_t read_after_ = 0;
--- a/src/net/ops_server.h
+++ b/src/net/ops_server.h
@@ -13,16 +13,20 @@
 namespace ivygw {
 
 struct OpsCall {
-  std::string method, path;
+  std::string method, path, body;
+  bool framed = false;  // says how long its body is
 };
 struct OpsAnswer {
   int status = 200;
   std::string body;
+  const char* type = "text/plain";
 };
 
 class OpsServer {
  public:
   static constexpr size_t kMostConnections = 12;
+  // Of a call's body: ten times a configuration of this fleet. All callers together hold 1.5 MB at most.
+  static constexpr size_t kMostBody = 128 * 1024;
   using OnCall = std::function<OpsAnswer(const OpsCall&)>;
 
   OpsServer(asio::io_context& io, const tcp::endpoint& address,
--- /dev/null
+++ b/src/net/record_file.cpp
@@ -0,0 +1,109 @@
+#include "net/record_file.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace ivygw {
+namespace {
+
+// A record is a process's own file of bounded parts; one that is longer is somebody else's.
+constexpr int64_t kMostRecord = 2 * static_cast<int64_t>(kMostFile);
+
+class Descriptor {
+ public:
+  explicit Descriptor(int fd) : fd_(fd) {}
+  ~Descriptor() {
+    if (fd_ >= 0) close(fd_);
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int get() const { return fd_; }
+
+ private:
+  int fd_;
+};
+
+bool WriteWhole(int fd, std::string_view text) {
+  while (!text.empty()) {
+    ssize_t n = write(fd, text.data(), text.size());
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    text.remove_prefix(static_cast<size_t>(n));
+  }
+  return true;
+}
+
+}  // namespace
+
+RecordFile::RecordFile(const std::string& folder, Fails fails) : fails_(std::move(fails)) {
+  if (folder.empty()) return;
+  path_ = folder + "/lb-config.json";
+  lock_ = open((folder + "/lb-config.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+}
+
+RecordFile::~RecordFile() {
+  if (lock_ >= 0) close(lock_);
+}
+
+bool RecordFile::TryLock() {
+  if (lock_ < 0) return true;  // nothing can be written there by anybody
+  struct flock lock = ByteLock(0, 1);
+  return fcntl(lock_, F_OFD_SETLK, &lock) == 0 || (errno != EAGAIN && errno != EACCES);
+}
+
+void RecordFile::Unlock() {
+  if (lock_ < 0) return;
+  struct flock lock = ByteLock(0, 1);
+  lock.l_type = F_UNLCK;
+  fcntl(lock_, F_OFD_SETLK, &lock);
+}
+
+std::optional<State> RecordFile::Read() {
+  if (!kept()) return std::nullopt;
+  seen_ = StampOf(path_);
+  if (seen_.bytes == 0 || seen_.bytes > kMostRecord) return std::nullopt;
+  std::ifstream in(path_, std::ios::binary);
+  std::stringstream text;
+  if (!in || !(text << in.rdbuf())) return std::nullopt;
+  return ReadRecord(text.str());
+}
+
+std::string RecordFile::Write(const State& state) {
+  if (!kept()) return "";
+  const std::string text = WriteRecord(state);
+  const std::string aside = path_ + ".new";  // one name: whoever holds the lock writes it anew
+  int failure = 0;
+  auto step = [&](Step which, auto act) {
+    errno = fails_ ? fails_(which) : 0;
+    bool done = errno == 0 && act();
+    if (!done) failure = errno;
+    return done;
+  };
+  bool written = false;
+  {
+    int opened = -1;
+    step(Step::kOpen, [&] {
+      opened = open(aside.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+      return opened >= 0;
+    });
+    Descriptor file(opened);
+    written = opened >= 0 && step(Step::kWrite, [&] { return WriteWhole(file.get(), text); }) &&
+              step(Step::kSync, [&] { return fsync(file.get()) == 0; });
+  }
+  // A reader, or a start after a kill, finds the old record or the new one.
+  if (written) written = step(Step::kRename, [&] { return std::rename(aside.c_str(), path_.c_str()) == 0; });
+  if (!written) {
+    unlink(aside.c_str());
+    return std::strerror(failure);
+  }
+  seen_ = StampOf(path_);
+  return "";
+}
+
+}  // namespace ivygw
--- a/src/net/sibling.cpp
+++ b/src/net/sibling.cpp
@@ -3,20 +3,13 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "net/file_stamp.h"
+
 namespace ivygw {
 namespace {
 
 constexpr off_t kMostProcesses = 8;  // a byte each
 
-struct flock Lock(off_t from, off_t bytes) {
-  struct flock lock {};
-  lock.l_type = F_WRLCK;
-  lock.l_whence = SEEK_SET;
-  lock.l_start = from;
-  lock.l_len = bytes;
-  return lock;
-}
-
 }  // namespace
 
 Sibling::Sibling(const std::string& folder) {
@@ -29,10 +22,9 @@
   if (file_ >= 0) close(file_);
 }
 
-// Locks of the open file, not of the process id: they do not end when some other descriptor of it is closed.
 void Sibling::Hold() {
   for (off_t i = 0; i < kMostProcesses && file_ >= 0 && !holding_; ++i) {
-    struct flock lock = Lock(i, 1);
+    struct flock lock = ByteLock(i, 1);
     holding_ = fcntl(file_, F_OFD_SETLK, &lock) == 0;
   }
 }
@@ -40,7 +32,7 @@
 bool Sibling::Alive() {
   if (file_ < 0) return false;
   Hold();
-  struct flock lock = Lock(0, kMostProcesses);
+  struct flock lock = ByteLock(0, kMostProcesses);
   return fcntl(file_, F_OFD_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
 }
 
--- /dev/null
+++ b/src/net/text.h
@@ -0,0 +1,63 @@
+// Small readers of text that several parts share.
+#ifndef IVYGW_NET_TEXT_H_
+#define IVYGW_NET_TEXT_H_
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace ivygw {
+
+template <typename T>
+bool Number(std::string_view text, T* value, int base = 10) {
+  if (text.empty()) return false;
+  std::from_chars_result result{};
+  if constexpr (std::is_floating_point_v<T>) {
+    result = std::from_chars(text.data(), text.data() + text.size(), *value);
+  } else {
+    result = std::from_chars(text.data(), text.data() + text.size(), *value, base);
+  }
+  return result.ec == std::errc() && result.ptr == text.data() + text.size();
+}
+
+inline std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+// The value of `name` in a list of name=value parts.
+inline std::optional<std::string_view> Part(std::string_view list, char between, std::string_view name) {
+  while (!list.empty()) {
+    size_t end = std::min(list.find(between), list.size());
+    std::string_view part = Trim(list.substr(0, end));
+    list.remove_prefix(std::min(end + 1, list.size()));
+    size_t equals = part.find('=');
+    if (equals != std::string_view::npos && Trim(part.substr(0, equals)) == name) {
+      return Trim(part.substr(equals + 1));
+    }
+  }
+  return std::nullopt;
+}
+
+// %41 is A; a malformed escape stays as it is.
+inline std::string Unescaped(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    unsigned code = 0;
+    if (text[i] == '%' && i + 2 < text.size() && Number(text.substr(i + 1, 2), &code, 16)) {
+      out += static_cast<char>(code);
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
+}
+
+}  // namespace ivygw
+
+#endif  // IVYGW_NET_TEXT_H_
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -142,7 +142,7 @@
   s.plans[0].burst = 20;
   s.try_limit = 1;
   s.classes.push_back(s.classes[0]);
-  t.b.OnSettings(t.now, s, &t.out);
+  t.b.OnSettings(t.now, t.b.Prepare(s, {}), &t.out);
   int got = 0;
   for (int i = 0; i < 30; ++i) got += t.Serve();
   EXPECT_EQ(got, 2) << "what was left";
@@ -155,6 +155,128 @@
   EXPECT_FALSE(t.Sent()) << "one attempt";
 }
 
+// A request ends by the settings that it came under, whatever they say of cancelling since.
+TEST(Settings, AnOpenRequestKeepsItsWayOut) {
+  Settings s = Site();
+  Bench t(s);
+  uint32_t early = t.Ask();
+  ASSERT_TRUE(t.Sent());
+  s.cancel = false;
+  t.b.OnSettings(t.now, t.b.Prepare(s, {}), &t.out);
+  uint32_t late = t.Ask();
+  ASSERT_TRUE(t.Sent());
+  t.out.clear();
+  t.b.OnAbandoned(t.now, early, &t.out);
+  EXPECT_NE(t.Got(ActionKind::kCancel), nullptr);
+  t.out.clear();
+  t.b.OnAbandoned(t.now, late, &t.out);
+  EXPECT_EQ(t.Got(ActionKind::kCancel), nullptr);
+}
+
+// A place of a class or plan is in use as long as a request or a customer refers to it.
+TEST(Settings, PlacesAreInUseAsLongAsSomethingRefersToThem) {
+  Settings s = Site();
+  s.may_count = false;
+  s.plans.push_back(s.plans[0]);
+  Bench t(s);
+  EXPECT_TRUE(t.b.InUse().classes.empty());
+  EXPECT_TRUE(t.b.InUse().plans.empty());
+  EXPECT_EQ(t.b.InUse().zones.count(0), 1u) << "of the backends";
+  uint32_t id = t.Ask(1, 2);
+  uint32_t backend = t.Got(ActionKind::kSend)->backend;
+  EXPECT_EQ(t.b.InUse().classes, std::unordered_set<int>{2});
+  t.End(id, backend, Result::kOk);
+  EXPECT_TRUE(t.b.InUse().classes.empty());
+  EXPECT_EQ(t.b.InUse().plans, std::unordered_set<int>{0}) << "the customer is remembered";
+  t.now += 100;
+  t.Serve(1, 77);  // what is idle goes at a request
+  EXPECT_EQ(t.b.InUse().plans.size(), 1u);
+}
+
+TEST(Settings, APlaceThatIsAnothersForgetsWhatWasLearnedThere) {
+  Settings s = Site();
+  Bench t(s);
+  for (int i = 0; i < 5; ++i) {
+    uint32_t id = t.Ask();
+    uint32_t backend = t.Got(ActionKind::kSend)->backend;
+    t.now += 0.01;
+    t.End(id, backend, Result::kOk);
+  }
+  double fresh = t.b.Prepare(s, {{0}, {0}, {}, {}}).work[0];
+  EXPECT_LT(t.b.Prepare(s, {}).work[0], fresh);
+  EXPECT_DOUBLE_EQ(t.b.Prepare(s, {{0}, {0}, {}, {}}).class_units[0], 0);
+  EXPECT_GT(t.b.Prepare(s, {}).class_units[0], 0);
+}
+
+// A dropped plan's customers go by the one that they name now, with the debt that they have; and by the old
+// one again where it comes back.
+TEST(Settings, ACustomerOfADroppedPlanIsServedUnderTheOneItNames) {
+  Settings s = Site();
+  s.may_count = false;
+  PlanSettings other = s.plans[0];
+  other.burst = 20;
+  s.plans.push_back(other);
+  Bench t(s);
+  auto serve = [&](int plan) {
+    Request r;
+    r.id = ++t.last;
+    r.plan = plan;
+    r.customer = 9;
+    r.left_s = 1;
+    r.units = 1;
+    t.out.clear();
+    t.b.OnRequest(t.now, r, &t.out);
+    const Action* send = t.Got(ActionKind::kSend);
+    if (send == nullptr) return false;
+    uint32_t backend = send->backend;
+    t.End(r.id, backend, Result::kOk);
+    return true;
+  };
+  int got = 0;
+  for (int i = 0; i < 7; ++i) got += serve(0);
+  ASSERT_EQ(got, 7);
+  EXPECT_FALSE(serve(1)) << "its plan is there, and this is not it";
+  s.plans[0].dropped = true;
+  t.b.OnSettings(t.now, t.b.Prepare(s, {}), &t.out);
+  got = 0;
+  for (int i = 0; i < 30; ++i) got += serve(1);
+  EXPECT_EQ(got, 3) << "what was left of its ten";
+  s.plans[0].dropped = false;
+  s.plans[1].dropped = true;
+  t.b.OnSettings(t.now, t.b.Prepare(s, {}), &t.out);
+  t.now += 1.001;  // two units
+  got = 0;
+  for (int i = 0; i < 30; ++i) got += serve(0);
+  EXPECT_EQ(got, 2);
+}
+
+// A cap that falls under what is out holds as soon as enough has ended.
+TEST(Settings, ACapThatFallsUnderWhatIsOutBinds) {
+  Settings s = Site();
+  s.may_count = false;
+  s.plans[0].rate = 0;
+  s.plans[0].parallel = 4;
+  Bench t(s);
+  std::vector<std::pair<uint32_t, uint32_t>> out;
+  for (int i = 0; i < 4; ++i) {
+    uint32_t id = t.Ask();
+    ASSERT_TRUE(t.Sent());
+    out.emplace_back(id, t.Got(ActionKind::kSend)->backend);
+  }
+  s.plans[0].parallel = 2;
+  t.b.OnSettings(t.now, t.b.Prepare(s, {}), &t.out);
+  for (int i = 0; i < 2; ++i) {
+    t.Ask();
+    EXPECT_FALSE(t.Sent());
+    t.End(out[static_cast<size_t>(i)].first, out[static_cast<size_t>(i)].second, Result::kOk);
+  }
+  t.Ask();
+  EXPECT_FALSE(t.Sent()) << "two are out";
+  t.End(out[2].first, out[2].second, Result::kOk);
+  t.Ask();
+  EXPECT_TRUE(t.Sent());
+}
+
 TEST(Bucket, RefusalNamesTheLongestStayAway) {
   Settings s = Site();
   Bench t(s);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -472,6 +472,14 @@
     }
     return -1;
   }
+  size_t Descriptors() const {
+    size_t n = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd")) {
+      n += entry.path().empty() ? 0 : 1;
+    }
+    return n;
+  }
+  const std::string& path() const { return path_; }
   std::unique_ptr<Wire> Connect() const { return Wire::To(port); }
   int port = 0, ops_port = 0;
   std::string line, rest;  // the log: its first line, and after Exit the others
--- /dev/null
+++ b/tests/gateway_site.h
@@ -0,0 +1,151 @@
+// Whole gateways among peers that behave, and what an operator asks of them.
+#ifndef IVYGW_TESTS_GATEWAY_SITE_H_
+#define IVYGW_TESTS_GATEWAY_SITE_H_
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <sstream>
+
+#include "gateway_rig.h"
+
+namespace rig {
+
+// The counter: answers one call after another by `answer(name, amount)`; an empty text answers nothing.
+class Counter {
+ public:
+  using Answer = std::function<std::string(const std::string&, double)>;
+  explicit Counter(Answer answer)
+      : server_([this, answer = std::move(answer)](Wire& wire) {
+          for (;;) {
+            std::vector<std::string> parts;
+            std::string first;
+            if (!Line(wire, &first)) return;
+            for (int i = 0; i < std::atoi(first.c_str() + 1); ++i) {
+              std::string size, part;
+              if (!Line(wire, &size) || !Line(wire, &part)) return;
+              EXPECT_EQ(static_cast<size_t>(std::atoi(size.c_str() + 1)), part.size());
+              parts.push_back(part);
+            }
+            EXPECT_EQ(parts.size(), 4u);
+            EXPECT_LE(parts[1].size(), 64u);
+            calls.Add();
+            wire.Write(answer(parts[1], std::atof(parts[2].c_str())));
+          }
+        }) {}
+  int port() const { return server_.port(); }
+  int connections() const { return server_.connections; }
+  void Stop() { server_.Stop(); }
+  Event calls;
+
+ private:
+  static bool Line(Wire& wire, std::string* line) {
+    size_t end;
+    while ((end = wire.unread.find("\r\n")) == std::string::npos) {
+      if (!wire.More()) return false;
+    }
+    *line = wire.unread.substr(0, end);
+    wire.unread.erase(0, end + 2);
+    return true;
+  }
+  Server server_;
+};
+
+inline std::string Bulk(const std::string& text) {
+  return std::string("$").append(std::to_string(text.size())).append("\r\n" + text + "\r\n");
+}
+
+// A gateway among peers that behave, with the given backends.
+struct Site {
+  explicit Site(const json& entries, json config = {}, const char* program = IVYGW, rlim_t descriptors = 0,
+                const Process::Environment& environment = {}) {
+    discovery.Set(entries);
+    if (!config.is_object()) config = Config(0, 0);
+    config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
+    config["counter"] = "127.0.0.1:" + std::to_string(counter.port());
+    gateway = std::make_unique<Process>(config, program, descriptors, environment);
+    EXPECT_NE(gateway->port, 0) << gateway->line;
+    EXPECT_TRUE(discovery.Told());
+  }
+  Counter counter{[](const std::string&, double) { return Bulk("0"); }};
+  Discovery discovery;
+  std::unique_ptr<Process> gateway;
+};
+
+inline Backend::Answer Says(const std::string& text) {
+  return [text](const Message&, Wire&) { return text; };
+}
+// Says nothing until the gateway gives the attempt up.
+inline Backend::Answer Hangs(Event* given_up) {
+  return [given_up](const Message&, Wire& wire) {
+    if (wire.Ended()) given_up->Add();
+    return std::string();
+  };
+}
+// One call of an operator.
+inline Message Call(int port, const std::string& method, const std::string& path,
+                    const std::string& body = "") {
+  auto caller = Wire::To(port);
+  return Ask(*caller, method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: " +
+                          std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+inline const std::string kReady = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+inline const Process::Environment kOps = {{"LB_OPS", "127.0.0.1:0"}};
+
+inline long Figure(int port, const std::string& name) {
+  std::istringstream lines(Call(port, "GET", "/control/counters").body);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind(name + "=", 0) == 0) return std::atol(line.c_str() + name.size() + 1);
+  }
+  return -1;
+}
+
+// A request of a customer not seen before, so that no quota is in its way.
+inline std::string Fresh(const std::string& cls) {
+  static int last = 0;
+  std::string request = Request(cls), customer = std::to_string(10000000 + ++last);
+  return request.replace(request.find("b4d65521"), 8, customer);
+}
+
+inline void AwaitFigure(int port, const std::string& name, long value) {
+  for (int i = 0; i < 3000 && Figure(port, name) != value; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(Figure(port, name), value);
+}
+
+// The platform's side of an upgrade: it holds the clients' socket and starts processes that share a folder.
+struct Upgrade {
+  Upgrade() {
+    sockaddr_in at;
+    socket = Loopback(&at, 0);
+    EXPECT_EQ(bind(socket, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    EXPECT_EQ(listen(socket, 256), 0);
+    discovery.Set(json::array({Entry("s1", backend.port())}));
+  }
+  ~Upgrade() { close(socket); }
+  std::unique_ptr<Process> Start() {
+    return std::make_unique<Process>(
+        Config(discovery.port(), counter.port()), IVYGW, 0,
+        Process::Environment{{"LB_OPS", "127.0.0.1:0"}, {"TMPDIR", folder.path()}}, socket);
+  }
+  static void AwaitReady(const Process& process) {
+    for (int i = 0; i < 3000 && Call(process.ops_port, "GET", "/control/ready").status() != 200; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(Call(process.ops_port, "GET", "/control/ready").status(), 200);
+  }
+  Event held, go;
+  Backend backend{[this](const Message& m, Wire&) {
+    if (m.body == "wait") held.Add(), go.Wait();
+    return Ok("x");
+  }};
+  Counter counter{[](const std::string&, double) { return Bulk("0"); }};
+  Discovery discovery;
+  Folder folder;
+  int socket = -1;
+};
+
+}  // namespace rig
+
+#endif  // IVYGW_TESTS_GATEWAY_SITE_H_
--- a/tests/silent_balancer.cpp
+++ b/tests/silent_balancer.cpp
@@ -27,7 +27,11 @@
 void Balancer::OnTimer(double, uint64_t, Actions*) {}
 void Balancer::OnOffline(double, uint32_t, bool, Actions*) {}
 void Balancer::OnProcesses(double, int, Actions*) {}
-void Balancer::OnSettings(double, const Settings&, Actions*) {}
+Places Balancer::InUse() const { return {}; }
+PreparedSettings Balancer::Prepare(const Settings& settings, const Places&) const {
+  return {settings, {}, {}, {}, {}};
+}
+void Balancer::OnSettings(double, PreparedSettings&&, Actions*) noexcept {}
 int Balancer::Avoided(double) const { return 0; }
 void Balancer::OnCount(double, const CountAnswer&, Actions*) {}
 
