--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -425,12 +425,16 @@
     }
     close(ends[1]);
     err_ = ends[0];
-    auto told = [&](const char* what) {  // the port at the end of the next line, if that is the line
-      char c;
-      line.clear();
-      while (read(err_, &c, 1) == 1 && c != '\n') line += c;
-      size_t colon = line.rfind(':');
-      return line.find(what) != std::string::npos ? std::atoi(line.c_str() + colon + 1) : 0;
+    auto told = [&](const char* what) {  // the port at the end of that line; 0 where the log ends before it
+      for (;;) {
+        char c = 0;
+        std::string next;
+        while (read(err_, &c, 1) == 1 && c != '\n') next += c;
+        if (next.empty() && c != '\n') return 0;
+        if (!line.empty()) earlier += line + "\n";
+        line = next;
+        if (line.find(what) != std::string::npos) return std::atoi(line.c_str() + line.rfind(':') + 1);
+      }
     };
     if (environment.count("LB_OPS") != 0) ops_port = told("operators at ");
     port = told(" listens on ");
@@ -479,10 +483,11 @@
     }
     return n;
   }
-  const std::string& path() const { return path_; }
+  pid_t pid() const { return pid_; }
   std::unique_ptr<Wire> Connect() const { return Wire::To(port); }
   int port = 0, ops_port = 0;
-  std::string line, rest;  // the log: its first line, and after Exit the others
+  // The log: what came before the line that names the port, that line, and after Exit the others.
+  std::string earlier, line, rest;
 
  private:
   pid_t pid_ = -1;
