Test that limits are live: more descriptors let in who waits

Change: a test in which a tenth client waits until the limit on descriptors is raised. Result: passes, and fails without that call (its client is not answered within 60 s).

--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -451,6 +451,25 @@
   EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
 }
 
+// More descriptors let in who waits, with nobody gone meanwhile.
+TEST(Reload, MoreDescriptorsLetInWhoWaits) {
+  Backend backend(Says(Ok("x")));
+  json config = ToStart();
+  config["limits"]["sockets"] = 64;  // of which 9 are for clients
+  Site site(json::array({Entry("s1", backend.port())}), config, IVYGW, 0, kOps);
+  std::vector<std::unique_ptr<Wire>> clients;
+  for (int i = 0; i < 9; ++i) {
+    clients.push_back(site.gateway->Connect());
+    EXPECT_EQ(Ask(*clients.back(), kReady).status(), 200);
+  }
+  auto waits = site.gateway->Connect();
+  waits->Write(kReady);
+  json more = Read(site.gateway->ops_port, "/running");
+  more["limits"]["sockets"] = 256;
+  EXPECT_EQ(Put(site.gateway->ops_port, more).status(), 200);
+  EXPECT_EQ(waits->Read().status(), 200);
+}
+
 // A start beside a broken file goes by the last good one, says so, and is ready.
 TEST(Reload, StartsBesideABrokenFile) {
   Folder folder;
