Test that limits are live by connections to backends; the test before showed nothing

Change: eight requests are held at the eight connections that 64 descriptors leave; a ninth is refused, and is sent on once the limit is raised.

--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -451,23 +451,30 @@
   EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
 }
 
-// More descriptors let in who waits, with nobody gone meanwhile.
-TEST(Reload, MoreDescriptorsLetInWhoWaits) {
-  Backend backend(Says(Ok("x")));
-  json config = ToStart();
-  config["limits"]["sockets"] = 64;  // of which 9 are for clients
-  Site site(json::array({Entry("s1", backend.port())}), config, IVYGW, 0, kOps);
+// Where descriptors are short, connections to backends are; more of them are of use at once.
+TEST(Reload, MoreDescriptorsMakeRoomAtOnce) {
+  Event held, go;
+  Backend backend([&](const Message&, Wire&) { return held.Add(), go.Wait(), Ok("x"); });
+  json config = ToStart(), entries = json::array();
+  config["limits"]["sockets"] = 64;  // of which 8 are for backends
+  for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}) {
+    entries.push_back(Entry(name, backend.port()));
+  }
+  Site site(entries, config, IVYGW, 0, kOps);
   std::vector<std::unique_ptr<Wire>> clients;
-  for (int i = 0; i < 9; ++i) {
+  auto hold = [&](int held_then) {
     clients.push_back(site.gateway->Connect());
-    EXPECT_EQ(Ask(*clients.back(), kReady).status(), 200);
-  }
-  auto waits = site.gateway->Connect();
-  waits->Write(kReady);
+    clients.back()->Write(Fresh("send-lead"));
+    return held.Wait(held_then);
+  };
+  for (int i = 1; i <= 8; ++i) ASSERT_TRUE(hold(i));
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Fresh("send-lead")).status(), 503);
   json more = Read(site.gateway->ops_port, "/running");
   more["limits"]["sockets"] = 256;
   EXPECT_EQ(Put(site.gateway->ops_port, more).status(), 200);
-  EXPECT_EQ(waits->Read().status(), 200);
+  EXPECT_TRUE(hold(9));
+  go.Add();
+  for (auto& client : clients) EXPECT_EQ(client->Read().status(), 200);
 }
 
 // A start beside a broken file goes by the last good one, says so, and is ready.
