Give each odd form of a client's time-out one meaning, bounded by its class

Change: ReadCall takes a whole number of milliseconds said once; more than the class's deadline, also with more digits than fit, is that deadline; everything else is a 400. Not taken: refusing long ones, since a long patience is harmless once it is bounded.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -40,6 +40,19 @@
   return all;
 }
 
+// The client's whole patience: a whole number of milliseconds, said once. More digits than fit are a long
+// time and not a fault; everything else that is no positive number is one.
+std::optional<double> ReadTimeout(const ClientMessage& message) {
+  constexpr const char* kName = "Request-Timeout-Ms";
+  if (message.count(kName) != 1) return std::nullopt;
+  std::string_view text = Trim(View(message[kName]));
+  if (text.empty() || text.find_first_not_of("0123456789") != std::string_view::npos) return std::nullopt;
+  uint64_t ms = 0;
+  if (!Number(text, &ms)) return kMostTimeoutS;
+  if (ms == 0) return std::nullopt;
+  return std::min(static_cast<double>(ms) / 1000, kMostTimeoutS);
+}
+
 // http://host/path?query is /path?query, which every server must take (RFC 9112, 3.2.2).
 std::string_view OriginForm(std::string_view target) {
   constexpr std::string_view kScheme = "http://";
@@ -84,9 +97,10 @@
     customer = customer->substr(1, customer->size() - 2);
   }
   if (!customer || customer->size() > 16 || !Number(*customer, &r.customer, 16)) return call;
-  unsigned long timeout_ms = 0;
-  if (!Number(View(message["Request-Timeout-Ms"]), &timeout_ms) || timeout_ms < 1) return call;
-  call.timeout_s = std::min(static_cast<double>(timeout_ms) / 1000, kMostTimeoutS);
+  auto timeout_s = ReadTimeout(message);
+  if (!timeout_s) return call;
+  // Nobody waits for longer than the class lets clients wait, whatever a client says.
+  call.timeout_s = std::min(*timeout_s, config.settings.classes[static_cast<size_t>(r.cls)].deadline_s);
   std::string terms = Lines(message, "X-Call-Terms", ", ");
   auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread");
   if (!units || !Number(*units, &r.units) || !std::isfinite(r.units) || r.units <= 0) return call;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -85,6 +85,36 @@
 }
 
 // Who connects and never comes to a request is answered or closed soon; a client between requests is kept.
+// Each odd form of a time-out has one meaning, and none is a budget without end.
+TEST(Gateway, ReadsATimeOutInOneWayAndBoundsItByTheClass) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  const std::string field = "Request-Timeout-Ms: ";
+  auto with = [&](const std::string& lines) {
+    std::string request = Fresh("quote");
+    size_t at = request.find(field);
+    return Ask(*client, request.replace(at, request.find("\r\n", at) + 2 - at, lines)).status();
+  };
+  for (const char* value : {"", "0", "000", "-1", "+5", "1.5", "1e3", "0x10", "ten", "10 20", "10,20", "10ms"}) {
+    EXPECT_EQ(with(field + value + "\r\n"), 400) << value;
+  }
+  EXPECT_EQ(with(""), 400) << "absent";
+  EXPECT_EQ(with(field + "2000\r\n" + field + "2000\r\n"), 400) << "repeated";
+  EXPECT_EQ(backend.requests.count(), 0);
+  size_t asked = 0;
+  auto told = [&](const std::string& value) {
+    EXPECT_EQ(with(field + value + "\r\n"), 200) << value;
+    return std::atoi(backend.request(asked++).Header("Request-Timeout-Ms").c_str());
+  };
+  for (const char* value : {"3000", "3001", "600000", "18446744073709551615", "99999999999999999999999999"}) {
+    int ms = told(value);
+    EXPECT_LE(ms, 3000) << value;
+    EXPECT_GT(ms, 2500) << value;
+  }
+  EXPECT_LE(told("  0900  "), 900);
+}
+
 TEST(Gateway, EndsPeersThatNeverAskSoon) {
   Backend backend(Says(Ok("x")));
   Site site(json::array({Entry("s1", backend.port())}));
