--- /dev/null
+++ b/lab/model/backend.h
@@ -0,0 +1,87 @@
+// Owns one backend: cores shared evenly by the requests in its slots, a waiting room, efficiency lost when it
+// is crowded, capacity that grows from cold, and tipping over when it is pushed. Time comes in, ends go out.
+#ifndef LEMONCHUTE_LAB_MODEL_BACKEND_H_
+#define LEMONCHUTE_LAB_MODEL_BACKEND_H_
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+class Backend {
+ public:
+  struct Job {
+    uint64_t id = 0;
+    double work_s = 0;
+    Micros deadline = kNever;  // waiting work is dropped then, where this day's backends do so
+  };
+  struct End {
+    uint64_t id = 0;
+    bool overdue = false;  // dropped from the waiting room; else its work is done
+    double work_s = 0;     // done for it
+  };
+  enum class Taken { kYes, kFull, kDown };
+
+  Backend(const Day& day, const DayBackend& figures) : day_(&day), b_(figures) {}
+
+  // Ends come from Advance, in order of time; call it before every other call at that time.
+  void Advance(Micros now, std::vector<End>* ends);
+  Micros NextAt() const;  // when Advance has something to say next
+
+  void Start(Micros now, bool cold);
+  void Stop();  // all that it holds is gone
+  Taken Offer(Micros now, const Job& job);
+  // Stops a job, as this day's backends do: waiting work always, running work on some days. Work done so far.
+  double Cancel(Micros now, uint64_t id);
+  // A connection's handshake: work for nobody, which takes no slot.
+  void Handshake(Micros now);
+  // Work that arrives at a cold backend pushes it, what it turns away too. True where it tips over now;
+  // `told_share` is then the part of the push that came from gateways told of its start.
+  bool Push(Micros now, double work_s, bool told, double* told_share);
+  void Slow(Micros now, double times);
+  // It has left the list: what is new gets a no from now on, until it starts again.
+  void Leave() { leaving_ = true; }
+
+  bool up() const { return up_; }
+  bool TakesNew() const { return up_ && !leaving_; }
+  bool tipped() const { return tipped_; }
+  bool Cold(Micros now) const { return up_ && now < warm_at_; }
+  int held() const { return static_cast<int>(running_.size() + waiting_.size()); }
+  // Work a second at `now`, with the requests that it holds.
+  double Capacity(Micros now) const;
+  // Seconds until `work_s` brought now would be done, if nothing else came.
+  double Expected(Micros now, double work_s) const;
+  bool SlotFree() const { return up_ && static_cast<int>(running_.size()) < b_.slots; }
+  const DayBackend& figures() const { return b_; }
+
+ private:
+  double Warmth(Micros now) const;
+  double PerJob(Micros now) const;
+  void FillSlots();
+
+  const Day* day_;
+  DayBackend b_;
+  bool up_ = false, tipped_ = false, leaving_ = false;
+  Micros at_ = 0, started_ = 0, warm_at_ = 0;
+  double slow_ = 1;
+  double progress_ = 0;                            // work done for each running job since the start of time
+  std::set<std::pair<double, uint64_t>> running_;  // the progress at which a job is done, and its id
+  std::unordered_map<uint64_t, std::pair<double, double>> jobs_;  // running: where it ends, and its work
+  std::deque<Job> waiting_;
+  double waiting_work_ = 0;
+  uint64_t handshakes_ = 0;
+  struct Pushed {
+    Micros at;
+    double work;
+    bool told;
+  };
+  std::deque<Pushed> pushed_;
+  double pushed_work_ = 0, pushed_told_ = 0;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_BACKEND_H_
--- /dev/null
+++ b/lab/model/choice.h
@@ -0,0 +1,41 @@
+// Owns the truth on choices of a backend: the regret of one, and whether a refused try could have had a slot.
+// `Listed` tells which backends the gateway had to choose from.
+#ifndef LEMONCHUTE_LAB_MODEL_CHOICE_H_
+#define LEMONCHUTE_LAB_MODEL_CHOICE_H_
+
+#include <algorithm>
+#include <vector>
+
+#include "model/backend.h"
+
+namespace lemonchute::lab {
+
+// How much longer a request expects at the chosen backend than at the best one known, and the best there was.
+struct Regret {
+  double known_s = 0, best_s = 0;
+};
+
+template <typename Listed>
+Regret RegretOf(const std::vector<Backend>& backends, size_t chosen, double work_s, Micros now,
+                Listed listed) {
+  double own = backends[chosen].Expected(now, work_s), known = own, best = own;
+  for (size_t b = 0; b < backends.size(); ++b) {
+    if (!backends[b].TakesNew()) continue;
+    double expected = backends[b].Expected(now, work_s);
+    best = std::min(best, expected);
+    if (listed(b)) known = std::min(known, expected);
+  }
+  return {own - known, own - best};
+}
+
+template <typename Listed>
+bool RoomAmong(const std::vector<Backend>& backends, Listed listed) {
+  for (size_t b = 0; b < backends.size(); ++b) {
+    if (backends[b].SlotFree() && backends[b].TakesNew() && listed(b)) return true;
+  }
+  return false;
+}
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_CHOICE_H_
--- /dev/null
+++ b/lab/model/counter.h
@@ -0,0 +1,53 @@
+// Owns the counter service: numbers by name over a few parts, each a line of calls served in turn. It answers
+// when a call has had its turn; time-outs are its callers' affair.
+#ifndef LEMONCHUTE_LAB_MODEL_COUNTER_H_
+#define LEMONCHUTE_LAB_MODEL_COUNTER_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+class Counter {
+ public:
+  enum class Said { kTotal, kBusy, kNothing };
+  struct Answer {
+    Said said = Said::kNothing;
+    Micros at = kNever;  // when the answer leaves; never where it is lost
+    double total = 0;
+  };
+
+  explicit Counter(const Day& day);
+
+  // Calls have to come in order of time. `keep_ms` is the life of a new name, at most a minute.
+  Answer Call(Micros now, std::string_view name, double amount, double keep_ms);
+  // While down it says nothing; when it comes back it is empty.
+  void Down(bool down);
+  void Lose(double share) { lost_share_ = share; }
+  uint64_t calls() const { return calls_; }
+  uint64_t turned_away() const { return turned_away_; }
+  size_t names() const { return names_.size(); }
+
+ private:
+  struct Number {
+    double value = 0;
+    Micros until = 0;
+  };
+  void Sweep(Micros now);
+
+  double per_call_s_, call_s_, longest_line_s_, lost_share_, day_lost_;
+  Random random_;
+  std::vector<Micros> busy_until_;
+  std::unordered_map<std::string, Number> names_;
+  Micros swept_ = 0;
+  bool down_ = false;
+  uint64_t calls_ = 0, turned_away_ = 0;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_COUNTER_H_
--- /dev/null
+++ b/lab/model/day.cpp
@@ -0,0 +1,354 @@
+// Draws a day. What customers ask for follows TERMS: most use a part of their quota, some nearly all, some
+// ask for more all day or in spells; each asks by a Poisson process of its present rate.
+#include "model/day.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lemonchute::lab {
+namespace {
+
+double Pick(Random* random, Range range) { return random->Uniform(range.lo, range.hi); }
+int Whole(Random* random, Range range) {
+  return static_cast<int>(range.lo) + random->Below(static_cast<int>(range.hi - range.lo) + 1);
+}
+bool Flag(Random* random, Range range) { return random->Chance(Pick(random, range)); }
+
+// `part` of `all`, in random order; at least one where there are any and the part is not nought.
+std::vector<int> Some(Random* random, std::vector<int> all, double part) {
+  random->Shuffle(&all);
+  auto n = static_cast<size_t>(std::llround(part * static_cast<double>(all.size())));
+  if (part > 0 && n == 0) n = 1;
+  all.resize(std::min(n, all.size()));
+  return all;
+}
+
+std::vector<int> UpTo(int n) {
+  std::vector<int> all(static_cast<size_t>(n));
+  for (int i = 0; i < n; ++i) all[static_cast<size_t>(i)] = i;
+  return all;
+}
+
+void DrawFigures(const Scenario& s, Random* r, Day* d) {
+  d->length = FromS(Pick(r, s.length_s));
+  d->end = d->length + FromS(Pick(r, s.settle_s));
+  d->gateways = Whole(r, s.gateways);
+  d->zones = Whole(r, s.zones);
+  d->memory_mb = static_cast<int>(Pick(r, s.memory_mb));
+  d->descriptors = static_cast<int>(Pick(r, s.descriptors));
+  d->crowding_loss = Pick(r, s.crowding_loss), d->crowding_at = Pick(r, s.crowding_at);
+  d->cold_share = Pick(r, s.cold_share), d->cold_s = Pick(r, s.cold_s);
+  d->cold_from = s.cold_share.lo, d->warm_after_s = s.cold_s.hi;
+  d->tip_multiple = Pick(r, s.tip_multiple), d->tip_s = Pick(r, s.tip_s);
+  d->handshake_work_s = Pick(r, s.handshake_work_ms) * 1e-3, d->handshake_trips = Pick(r, s.handshake_trips);
+  d->idle_s = Pick(r, s.idle_s), d->connect_timeout_s = Pick(r, s.connect_timeout_ms) * 1e-3;
+  d->error_share = Pick(r, s.error_share);
+  d->cancel_running = Flag(r, s.cancel_running), d->drops_overdue = Flag(r, s.drops_overdue);
+  d->same_zone_s = Pick(r, s.same_zone_ms) * 1e-3, d->cross_zone_s = Pick(r, s.cross_zone_ms) * 1e-3;
+  d->client_s = Pick(r, s.client_ms) * 1e-3, d->jitter = Pick(r, s.jitter);
+  d->units_top = Whole(r, s.units_top), d->retries = Whole(r, s.retries);
+  d->try_share = Pick(r, s.try_share), d->backoff_s = Pick(r, s.backoff_ms) * 1e-3;
+  d->backoff_grows = Flag(r, s.backoff_grows), d->heeds_share = Pick(r, s.heeds_share);
+  d->most_retry_after_s = Pick(r, s.most_retry_after_ms) * 1e-3,
+  d->impatient_share = Pick(r, s.impatient_share);
+  d->skew = Pick(r, s.skew), d->shift_s = Pick(r, s.shift_s), d->front_notice_s = Pick(r, s.front_notice_s);
+  d->list_notice_lo = s.list_notice_s.lo, d->list_notice_hi = s.list_notice_s.hi;
+  d->start_notice_lo = s.start_notice_s.lo, d->start_notice_hi = s.start_notice_s.hi;
+  d->agent_s = Pick(r, s.agent_ms) * 1e-3;
+  d->parts = Whole(r, s.parts), d->calls_per_s = Pick(r, s.calls_per_s),
+  d->call_s = Pick(r, s.call_ms) * 1e-3;
+  d->line_timeouts = Pick(r, s.line_timeouts), d->count_timeout_s = Pick(r, s.timeout_ms) * 1e-3;
+  d->lost_share = Pick(r, s.lost_share);
+  d->drain_grace_s = Pick(r, s.drain_grace_ms) * 1e-3, d->answer_grace_s = Pick(r, s.answer_grace_ms) * 1e-3;
+  d->try_limit = Whole(r, s.try_limit);
+  d->counter_price = Pick(r, s.counter_price), d->waste_price = Pick(r, s.waste_price);
+  d->late_price = Pick(r, s.late_price), d->cross_zone_price = Pick(r, s.cross_zone_price);
+  d->hidden_price = Pick(r, s.hidden_price);
+  d->goal_whole = Pick(r, s.goal_whole), d->goal_window = Pick(r, s.goal_window),
+  d->goal_plan = Pick(r, s.goal_plan);
+}
+
+void DrawBackend(const Scenario& s, Random* r, int zone, Micros starts_at, Day* d) {
+  DayBackend b;
+  char name[32];
+  std::snprintf(name, sizeof(name), "s-%08x", static_cast<unsigned>(r->Bits() >> 32));
+  b.name = name;
+  b.zone = zone;
+  b.cores = Whole(r, s.cores);
+  b.speed = Pick(r, s.speed);
+  b.slots = std::max(1, static_cast<int>(std::lround(Pick(r, s.slots_per_core) * b.cores)));
+  b.queue = static_cast<int>(std::lround(Pick(r, s.queue_per_core) * b.cores));
+  b.connections = std::max(1, static_cast<int>(Pick(r, s.connections_per_core) * b.cores));
+  b.starts_at = starts_at;
+  d->backends.push_back(b);
+}
+
+void DrawPlans(const Scenario& s, Random* r, Day* d) {
+  double shares = 0;
+  for (const ClassFigures& f : s.classes) shares += f.share.lo;
+  for (const ClassFigures& f : s.classes) {
+    DayClass c{f.name,
+               f.share.lo / shares,
+               Pick(r, f.work_ms) * 1e-3,
+               Pick(r, f.work_cv),
+               Pick(r, f.aim_ms) * 1e-3,
+               Pick(r, f.deadline_ms) * 1e-3,
+               Pick(r, f.worth)};
+    d->mean_work_s += c.share * c.work_s;
+    d->classes.push_back(c);
+  }
+  d->tip_slack_s = Pick(r, s.tip_slack_requests) * d->mean_work_s;
+  shares = 0;
+  for (const PlanFigures& f : s.plans) shares += f.share.lo;
+  for (const PlanFigures& f : s.plans) {
+    DayPlan p;
+    p.name = f.name, p.share = f.share.lo / shares;
+    p.rate = std::round(Pick(r, f.units_per_s) * 10) / 10;
+    bool ceiling = f.ceiling_times.hi > 0;
+    p.burst = std::max(std::round(p.rate * Pick(r, f.burst_s)), (ceiling ? 4.0 : 2.0) * d->units_top);
+    p.price = Pick(r, f.price), p.over_cost = Pick(r, f.over_cost), p.over_worth = Pick(r, f.over_worth);
+    if (ceiling) {
+      double times = Pick(r, f.ceiling_times);
+      p.ceiling_rate = std::round(p.rate * times), p.ceiling_burst = std::round(p.burst * times);
+      p.ceiling_slack =
+          std::max(std::ceil(Pick(r, s.slack_share) * p.ceiling_burst), static_cast<double>(d->units_top));
+    }
+    // What the rate keeps out on idle backends: requests a second times the work of one.
+    double open = Pick(r, f.open_times);
+    if (open > 0) p.open = std::max(2, static_cast<int>(std::ceil(open * p.rate / 2 * d->mean_work_s)));
+    d->plans.push_back(p);
+  }
+}
+
+// Units go by the request's work: half of the mean work is one unit, so that a mean request counts two.
+double Units(const Day& d, int cls, double work_s) {
+  double one = d.classes[static_cast<size_t>(cls)].work_s / 2;
+  return std::clamp(std::round(work_s / one), 1.0, static_cast<double>(d.units_top));
+}
+
+double MeanUnits(const Day& d, uint64_t seed) {
+  Random r(seed, Stream::kSeeds, 7);
+  double sum = 0;
+  constexpr int kDraws = 4000;
+  for (int i = 0; i < kDraws; ++i) {
+    const DayClass& c = d.classes.front();
+    sum += Units(d, 0, c.work_s * r.Spread(c.work_cv));
+  }
+  return sum / kDraws;
+}
+
+// When the rate of arrivals is other than usual, for all.
+struct Surge {
+  Micros from, to;
+  double times;
+};
+
+void DrawArrivals(const Scenario& s, const std::vector<Surge>& surges, Day* d) {
+  Random r(d->seed, Stream::kCustomers);
+  double calm_lo = s.calm_use.lo, calm_hi = s.calm_use.hi;
+  double full = Pick(&r, s.full_share), heavy = Pick(&r, s.heavy_share), spiky = Pick(&r, s.spiky_share);
+  double heavy_times = Pick(&r, s.heavy_times), spike_times = Pick(&r, s.spike_times);
+  double spike_s = Pick(&r, s.spike_s), spike_every_s = std::max(Pick(&r, s.spike_every_s), spike_s);
+  double use = Pick(&r, s.use), most_excess = Pick(&r, s.most_excess);
+  double units = MeanUnits(*d, d->seed);
+  double requests_per_s = use * d->Capacity() / d->mean_work_s;
+  double inside = 0, excess = 0;
+  int number = 0;
+  double length = ToS(d->length);
+  for (size_t plan = 0; plan < d->plans.size(); ++plan) {
+    const DayPlan& p = d->plans[plan];
+    double asked = 0, goal = requests_per_s * p.share * units;
+    while (asked < goal) {
+      Customer c;
+      c.key = (0xb0000000ull + static_cast<uint64_t>(number) * 2654435761ull) & 0x1ffffffffull;
+      c.plan = static_cast<int>(plan);
+      c.spread = std::min(d->gateways, Whole(&r, s.set_size));
+      c.first = r.Below(d->gateways);
+      double kind = r.Uniform(0, 1), base = Pick(&r, {calm_lo, calm_hi}), peak = 0;
+      if (kind < full)
+        base = r.Uniform(0.85, 1);
+      else if (kind < full + heavy)
+        base = excess <= most_excess * inside ? heavy_times : 1;
+      else if (kind < full + heavy + spiky)
+        peak = spike_times;
+      asked += std::min(base, 1.0) * p.rate;
+      inside += std::min(base, 1.0) * p.rate;
+      excess += std::max(0.0, base - 1) * p.rate + std::max(0.0, peak - 1) * p.rate * spike_s / spike_every_s;
+      Random own(d->seed, Stream::kArrivals, static_cast<uint64_t>(number));
+      double spike_at = peak > 0 ? own.Uniform(0, spike_every_s) : 1e18;
+      double most = std::max(base, peak);
+      for (const Surge& surge : surges) most = std::max(most, std::max(base, peak) * surge.times);
+      // Thinning (Lewis and Shedler 1979): draw at the highest rate, keep by the present one.
+      for (double at = own.Exponential(units / (most * p.rate)); at < length;
+           at += own.Exponential(units / (most * p.rate))) {
+        while (at > spike_at + spike_s) spike_at += own.Uniform(0.5, 1.5) * spike_every_s;
+        double rate = at >= spike_at && at <= spike_at + spike_s ? peak : base;
+        for (const Surge& surge : surges) {
+          if (FromS(at) >= surge.from && FromS(at) < surge.to) rate *= surge.times;
+        }
+        if (!own.Chance(rate / most)) continue;
+        Arrival a;
+        a.at = FromS(at);
+        a.customer = static_cast<uint32_t>(number);
+        double cls = own.Uniform(0, 1);
+        while (a.cls + 1 < static_cast<int>(d->classes.size()) &&
+               cls >= d->classes[static_cast<size_t>(a.cls)].share) {
+          cls -= d->classes[static_cast<size_t>(a.cls++)].share;
+        }
+        const DayClass& klass = d->classes[static_cast<size_t>(a.cls)];
+        a.work_s = klass.work_s * own.Spread(klass.work_cv);
+        a.units = Units(*d, a.cls, a.work_s);
+        a.guess = std::clamp(std::round(a.units * own.Spread(Pick(&own, s.guess_cv))), 1.0,
+                             static_cast<double>(d->units_top));
+        d->arrivals.push_back(a);
+      }
+      d->customers.push_back(c);
+      ++number;
+    }
+  }
+  std::stable_sort(d->arrivals.begin(), d->arrivals.end(),
+                   [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+}
+
+class Timeline {
+ public:
+  Timeline(const Scenario& s, Random* r, Day* d, std::vector<Surge>* surges)
+      : s_(s), r_(r), d_(d), surges_(surges) {
+    for (size_t i = 0; i < d->backends.size(); ++i) running_.push_back(static_cast<int>(i));
+  }
+
+  void Add(const EventFigures& e) {
+    Micros at = FromS(Pick(r_, e.at_s)), to = at + FromS(Pick(r_, e.for_s));
+    double part = Pick(r_, e.part), size = Pick(r_, e.size);
+    int zone = r_->Below(d_->zones);
+    std::vector<int> all = UpTo(d_->gateways);
+    Micros ended = to;
+    if (e.kind == "burst") {
+      surges_->push_back({at, to, size});
+    } else if (e.kind == "shift") {
+      d_->shifts.push_back(at), d_->shift_part = part;
+    } else if (e.kind == "hot") {
+      d_->hot_from = at, d_->hot_to = to, d_->hot_share = size;
+    } else if (e.kind == "kill") {
+      for (int g : Some(r_, all, part)) {
+        Put(at, Happening::kKill, {g});
+        Micros back = at + FromS(Pick(r_, e.down_s));
+        ended = std::max(ended, back);
+        Put(back, Happening::kRevive, {g});
+      }
+    } else if (e.kind == "restart") {
+      std::vector<int> chosen = Some(r_, all, part);
+      auto batch = std::max<size_t>(1, static_cast<size_t>(size * d_->gateways));
+      size_t batches = (chosen.size() + batch - 1) / batch;
+      for (size_t i = 0; i < chosen.size(); ++i) {
+        Micros then = at + (to - at) * static_cast<Micros>(i / batch) /
+                               static_cast<Micros>(std::max<size_t>(1, batches));
+        Put(then, Happening::kTerminate, {chosen[i]});
+        // SIGKILL comes after the longest deadline and 0.7 s; the new process starts down_s later.
+        double deadline = 0;
+        for (const DayClass& c : d_->classes) deadline = std::max(deadline, c.deadline_s);
+        Put(then + FromS(std::min(deadline, 3.0) + 0.7), Happening::kKill, {chosen[i]});
+        Put(then + FromS(std::min(deadline, 3.0) + 0.7 + Pick(r_, e.down_s)), Happening::kRevive,
+            {chosen[i]});
+      }
+    } else if (e.kind == "stop") {
+      Both(at, to, Happening::kStop, Happening::kContinue, Some(r_, all, part), 0);
+    } else if (e.kind == "replace") {
+      std::vector<int> chosen = Some(r_, running_, part);
+      for (size_t i = 0; i < chosen.size(); ++i) {
+        Micros then = at + (to - at) * static_cast<Micros>(i) / static_cast<Micros>(chosen.size());
+        Put(then, Happening::kDrainBackend, {chosen[i]});
+        Put(then + FromS(4), Happening::kLeave, {chosen[i]});
+        Put(then + FromS(4.5), Happening::kEnd, {chosen[i]});
+        DrawBackend(s_, r_, d_->backends[static_cast<size_t>(chosen[i])].zone, std::max<Micros>(1, then), d_);
+        int fresh = static_cast<int>(d_->backends.size()) - 1;
+        Put(then, Happening::kStart, {fresh});
+        std::replace(running_.begin(), running_.end(), chosen[i], fresh);
+      }
+    } else if (e.kind == "crash" || e.kind == "zone-lost") {
+      std::vector<int> chosen = e.kind == "crash" ? Some(r_, running_, part) : std::vector<int>();
+      if (e.kind == "zone-lost") {
+        for (int b : running_) {
+          if (d_->backends[static_cast<size_t>(b)].zone == zone) chosen.push_back(b);
+        }
+      }
+      Both(at, to, Happening::kEnd, Happening::kStart, chosen, 0);
+    } else if (e.kind == "fail") {
+      Both(at, to, Happening::kFail, Happening::kFail, Some(r_, running_, part), size);
+    } else if (e.kind == "slow") {
+      Both(at, to, Happening::kSlow, Happening::kSlow, Some(r_, running_, part), size);
+    } else if (e.kind == "silent") {
+      Both(at, to, Happening::kSilent, Happening::kSilent, Some(r_, running_, part), 1);
+    } else if (e.kind == "zone-cut") {
+      Both(at, to, Happening::kCut, Happening::kCut, {zone}, 1);
+    } else if (e.kind == "resets") {
+      Both(at, to, Happening::kResets, Happening::kResets, {}, size);
+    } else if (e.kind == "counter-down") {
+      Both(at, to, Happening::kCounterDown, Happening::kCounterDown, {}, 1);
+    } else if (e.kind == "counter-loses") {
+      Both(at, to, Happening::kCounterLoses, Happening::kCounterLoses, {}, size);
+    } else if (e.kind == "discovery-silent") {
+      Both(at, to, Happening::kDiscoverySilent, Happening::kDiscoverySilent, {}, 1);
+    } else if (e.kind == "offline") {
+      std::vector<int> chosen = Some(r_, running_, part);
+      Both(at, to, Happening::kOffline, Happening::kOnline, chosen, 0);
+      // In the time it is out it is restarted and comes back cold.
+      Both(at + (to - at) / 2, to - (to - at) / 4, Happening::kEnd, Happening::kStart, chosen, 0);
+    } else if (e.kind == "drain") {
+      Both(at, to, Happening::kOutOfService, Happening::kInService, Some(r_, all, part), 0);
+    } else if (e.kind == "scrape") {
+      Both(at, to, Happening::kScrape, Happening::kScrape, {}, size);
+    } else if (e.kind == "retune") {
+      Put(at, Happening::kRetune, {}, size);
+    } else if (e.kind == "upgrade") {
+      Put(at, Happening::kUpgrade, Some(r_, all, part));
+    }
+    d_->troubles.push_back({at, ended, e.kind});
+  }
+
+ private:
+  void Put(Micros at, Happening what, std::vector<int> targets, double size = 0) {
+    d_->incidents.push_back({at, what, std::move(targets), size});
+  }
+  void Both(Micros from, Micros to, Happening begin, Happening end, const std::vector<int>& targets,
+            double size) {
+    Put(from, begin, targets, size);
+    Put(to, end, targets, 0);
+  }
+
+  const Scenario& s_;
+  Random* r_;
+  Day* d_;
+  std::vector<Surge>* surges_;
+  std::vector<int> running_;  // backends that are there when the events so far are over
+};
+
+}  // namespace
+
+double Day::Capacity() const {
+  double sum = 0;
+  for (const DayBackend& b : backends) sum += b.starts_at == 0 ? b.cores * b.speed : 0;
+  return sum;
+}
+
+Day DrawDay(const Scenario& scenario, uint64_t seed) {
+  Day d;
+  d.seed = seed;
+  d.scenario = scenario.name;
+  Random site(seed, Stream::kSite);
+  DrawFigures(scenario, &site, &d);
+  DrawPlans(scenario, &site, &d);
+  for (int g = 0; g < d.gateways; ++g) d.gateway_zone.push_back(g % d.zones);
+  int backends = Whole(&site, scenario.backends);
+  for (int b = 0; b < backends; ++b) DrawBackend(scenario, &site, b % d.zones, 0, &d);
+  Random timeline(seed, Stream::kTimeline);
+  std::vector<Surge> surges;
+  Timeline drawn(scenario, &timeline, &d, &surges);
+  for (const EventFigures& event : scenario.events) drawn.Add(event);
+  std::stable_sort(d.incidents.begin(), d.incidents.end(),
+                   [](const Incident& a, const Incident& b) { return a.at < b.at; });
+  DrawArrivals(scenario, surges, &d);
+  return d;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/model/discovery.cpp
@@ -0,0 +1,66 @@
+// What is told late stays in order: a gateway hears of a version no earlier than of the one before it.
+#include "model/discovery.h"
+
+#include <algorithm>
+#include <map>
+
+namespace lemonchute::lab {
+
+Discovery::Discovery(const Day& day) : day_(&day), random_(day.seed, Stream::kNetwork, 2) {}
+
+int Discovery::Tell(Micros now, const Entry& entry, std::vector<Micros>* told) {
+  bool start = entry.state == Listed::kActive;
+  double lo = start ? day_->start_notice_lo : day_->list_notice_lo;
+  double hi = start ? day_->start_notice_hi : day_->list_notice_hi;
+  changes_.push_back({now, entry});
+  // The list learns of it once, for all; each gateway then a little later.
+  double notice = random_.Uniform(lo, hi);
+  std::vector<Micros> row;
+  for (int g = 0; g < day_->gateways; ++g) {
+    Micros at = silent_ ? kNever : now + FromS(notice + random_.Uniform(0, day_->agent_s));
+    if (!told_.empty()) at = std::max(at, told_.back()[static_cast<size_t>(g)]);
+    row.push_back(at);
+  }
+  told_.push_back(row);
+  if (told != nullptr) *told = row;
+  return static_cast<int>(changes_.size());
+}
+
+void Discovery::Silent(bool silent, Micros now, std::vector<Micros>* told) {
+  silent_ = silent;
+  for (std::vector<Micros>& row : told_) {
+    for (size_t g = 0; g < row.size(); ++g) {
+      // What was not told yet waits for the end of the silence.
+      if (silent && row[g] > now) row[g] = kNever;
+      if (!silent && row[g] == kNever) row[g] = now + FromS(0.1);
+    }
+  }
+  if (told != nullptr && !told_.empty()) *told = told_.back();
+}
+
+int Discovery::VersionAt(int gateway, Micros now) const {
+  auto later = std::partition_point(told_.begin(), told_.end(), [&](const std::vector<Micros>& row) {
+    return row[static_cast<size_t>(gateway)] <= now;
+  });
+  return static_cast<int>(later - told_.begin());
+}
+
+std::vector<Discovery::Entry> Discovery::ListAt(int version) const {
+  std::map<int, Entry> list;
+  for (size_t b = 0; b < day_->backends.size(); ++b) {
+    if (day_->backends[b].starts_at == 0)
+      list[static_cast<int>(b)] = {static_cast<int>(b), Listed::kActive, 0};
+  }
+  for (int v = 0; v < version; ++v) {
+    const Entry& entry = changes_[static_cast<size_t>(v)].entry;
+    if (entry.state == Listed::kLeft)
+      list.erase(entry.backend);
+    else
+      list[entry.backend] = entry;
+  }
+  std::vector<Entry> entries;
+  for (const auto& [backend, entry] : list) entries.push_back(entry);
+  return entries;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/model/discovery.h
@@ -0,0 +1,54 @@
+// Owns discovery: the list of backends in versions, and when each gateway is told of each. Gateways are told
+// in order, each after a delay of its own; while discovery is silent nobody is told.
+#ifndef LEMONCHUTE_LAB_MODEL_DISCOVERY_H_
+#define LEMONCHUTE_LAB_MODEL_DISCOVERY_H_
+
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+enum class Listed { kActive, kLeaving, kLeft };
+
+class Discovery {
+ public:
+  struct Entry {
+    int backend = 0;
+    Listed state = Listed::kActive;
+    Micros since = 0;  // its last start; 0: long ago
+  };
+  struct Change {
+    Micros at = 0;
+    Entry entry;
+  };
+
+  explicit Discovery(const Day& day);
+
+  // Version numbers are 1 + the place in changes(); version 0 is the list of the start.
+  // For each gateway, when it is told: `told[g]`; kNever while discovery is silent.
+  int Tell(Micros now, const Entry& entry, std::vector<Micros>* told);
+  // Silent ends: what waited is told now. Gives each gateway's moment for the newest version.
+  void Silent(bool silent, Micros now, std::vector<Micros>* told);
+
+  // The newest version that `gateway` has been told of by now.
+  int VersionAt(int gateway, Micros now) const;
+  // When `gateway` was or will be told of the version (from 1).
+  Micros ToldAt(int gateway, int version) const {
+    return told_[static_cast<size_t>(version - 1)][static_cast<size_t>(gateway)];
+  }
+  // The whole list as of a version, those that have left not among it.
+  std::vector<Entry> ListAt(int version) const;
+  const std::vector<Change>& changes() const { return changes_; }
+
+ private:
+  const Day* day_;
+  Random random_;
+  bool silent_ = false;
+  std::vector<Change> changes_;
+  std::vector<std::vector<Micros>> told_;  // for each version, for each gateway
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_DISCOVERY_H_
--- /dev/null
+++ b/lab/model/front.h
@@ -0,0 +1,41 @@
+// Owns what clients and their front do: through which gateway a try comes, how long it waits, and whether and
+// when a failed one comes again. A client's habits follow from its request's number, not from the order of
+// events.
+#ifndef LEMONCHUTE_LAB_MODEL_FRONT_H_
+#define LEMONCHUTE_LAB_MODEL_FRONT_H_
+
+#include <optional>
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+class Front {
+ public:
+  explicit Front(const Day& day);
+
+  // The gateway of the set for a try that is sent now; -1 where the front sees none of them up.
+  int Pick(uint32_t arrival, int number, Micros now) const;
+  // A gateway's process has ended or answers readiness with a no; and is ready again.
+  void Gone(int gateway, Micros now);
+  void Draining(int gateway, Micros now);
+  void Ready(int gateway);
+
+  // A try's own patience, from its sending.
+  Micros Patience(uint32_t arrival, Micros now) const;
+  // Where the client leaves before its patience ends: when, from its sending.
+  std::optional<Micros> LeavesAfter(uint32_t arrival, int number, Micros patience) const;
+  // When the client tries again after a failure; none where it does not. `retry_after_s` is 0 for no advice.
+  std::optional<Micros> Again(uint32_t arrival, int number, Micros now, double retry_after_s) const;
+
+ private:
+  Random Habits(uint32_t arrival, int number, uint64_t what) const;
+
+  const Day* day_;
+  std::vector<Micros> unseen_until_;  // by when the front has noticed that it is down; kNever: it is up
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_FRONT_H_
--- /dev/null
+++ b/lab/model/judge.cpp
@@ -0,0 +1,457 @@
+// The rules as PROTOCOL, TERMS and WIRE word them, and G as BENCH and BRIEF do.
+#include "model/judge.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace lemonchute::lab {
+namespace {
+
+constexpr size_t kMostBreaches = 100;
+// What discovery has to tell counts as told this long after at the latest (PROTOCOL, Figures).
+constexpr Micros kToldAnyway = 6 * kSecond;
+constexpr double kFullPush =
+    2.0 / 3;  // of a push that tips a backend: by gateways told of its start, it is a breach
+constexpr Micros kFirstCounted = kSecond;
+constexpr double kWindowS = 10;  // the worst one weighs
+
+double Share(double part, double of) { return of > 0 ? part / of : 0; }
+double Round(double x) { return std::round(x * 1e6) / 1e6; }
+
+}  // namespace
+
+const char* Name(Mark mark) {
+  switch (mark) {
+    case Mark::kInside: return "admitted_inside";
+    case Mark::kBeyondRate: return "admitted_beyond_rate";
+    case Mark::kBeyondOpen: return "admitted_beyond_cap";
+    case Mark::kForQuota: return "refused_rightly_quota";
+    case Mark::kForCap: return "refused_rightly_cap";
+    case Mark::kForRoom: return "refused_rightly_room";
+    case Mark::kNeedless: return "refused_needlessly";
+    case Mark::kCount: break;
+  }
+  return "";
+}
+
+Judge::Judge(const Day& day, const Discovery& discovery)
+    : day_(&day),
+      discovery_(&discovery),
+      truth_(day),
+      inside_(InsideByFirstTries(day)),
+      done_(day.arrivals.size(), 0),
+      versions_of_(day.backends.size()),
+      open_at_(static_cast<size_t>(day.gateways)),
+      plan_served_(day.plans.size(), 0),
+      latency_(std::make_tuple(LogAxis(400, 1e-4, 1e3))) {
+  seconds_.resize(static_cast<size_t>(ToS(day.end)) + 2);
+  for (size_t i = 0; i < day.arrivals.size(); ++i) {
+    const Arrival& a = day.arrivals[i];
+    if (a.at < kFirstCounted) continue;
+    SecondOf(a.at).offered += Offered(static_cast<uint32_t>(i));
+  }
+}
+
+Judge::Second& Judge::SecondOf(Micros now) {
+  return seconds_[std::min(seconds_.size() - 1, static_cast<size_t>(std::max<Micros>(0, now) / kSecond))];
+}
+
+double Judge::Worth(uint32_t arrival, double units) const {
+  const Arrival& a = day_->arrivals[arrival];
+  return day_->classes[static_cast<size_t>(a.cls)].worth *
+         day_->plans[static_cast<size_t>(day_->customers[a.customer].plan)].price * units;
+}
+
+// Inside quotas its worth; beyond them what its plan still gives for it.
+double Judge::Offered(uint32_t arrival) const {
+  const Arrival& a = day_->arrivals[arrival];
+  return Worth(arrival, a.units) *
+         (inside_[arrival] ? 1
+                           : day_->plans[static_cast<size_t>(day_->customers[a.customer].plan)].over_worth);
+}
+
+void Judge::Note(char what, Micros now, uint64_t a, uint64_t b) {
+  uint64_t words[4] = {static_cast<uint64_t>(what), static_cast<uint64_t>(now), a, b};
+  digest_ = XXH3_64bits_withSeed(words, sizeof(words), digest_);
+}
+
+uint64_t Judge::Digest() const { return digest_; }
+
+void Judge::Broke(const std::string& rule, Micros now, uint32_t id, const std::string& what) {
+  ++broken_;
+  if (breaches_.size() >= kMostBreaches) return;
+  Breach breach{rule, what, now, id, {}};
+  if (id < tries_.size()) {
+    for (const Try& t : tries_) {
+      if (t.arrival == tries_[id].arrival) breach.gateways.push_back(t.gateway);
+    }
+  }
+  breaches_.push_back(std::move(breach));
+}
+
+uint32_t Judge::Sent(Micros now, uint32_t arrival, int number, int gateway, Micros patience) {
+  auto id = static_cast<uint32_t>(tries_.size());
+  Note('s', now, arrival, static_cast<uint64_t>(gateway));
+  Try t;
+  t.arrival = arrival, t.number = number, t.gateway = gateway, t.sent = now, t.patience = patience;
+  tries_.push_back(t);
+  SecondOf(now).asked += number == 0 ? 1 : 0;
+  ++SecondOf(now).tries;
+  return id;
+}
+
+void Judge::Taken(Micros now, uint32_t id) {
+  tries_[id].taken = now;
+  open_at_[static_cast<size_t>(tries_[id].gateway)].insert(id);
+}
+
+void Judge::Unheard(Micros now, uint32_t id) {
+  Note('u', now, id);
+  ++unheard_;
+  open_at_[static_cast<size_t>(tries_[id].gateway)].erase(id);
+  tries_[id].ended = now, tries_[id].told = true;
+  ++SecondOf(now).failed;
+}
+
+Listed Judge::ToldState(int gateway, int backend, Micros now, Micros* since) const {
+  auto* self = const_cast<Judge*>(this);  // the index by backend is only a faster way to the same list
+  for (; versions_seen_ < discovery_->changes().size(); ++versions_seen_) {
+    self->versions_of_[static_cast<size_t>(discovery_->changes()[versions_seen_].entry.backend)].push_back(
+        static_cast<int>(versions_seen_) + 1);
+  }
+  const std::vector<int>& versions = versions_of_[static_cast<size_t>(backend)];
+  for (auto version = versions.rbegin(); version != versions.rend(); ++version) {
+    const Discovery::Change& change = discovery_->changes()[static_cast<size_t>(*version - 1)];
+    Micros told = std::min(discovery_->ToldAt(gateway, *version), change.at + kToldAnyway);
+    if (told > now) continue;
+    *since = told;
+    return change.entry.state;
+  }
+  *since = 0;
+  return day_->backends[static_cast<size_t>(backend)].starts_at == 0 ? Listed::kActive : Listed::kLeft;
+}
+
+void Judge::Sending(Micros now, uint32_t id, int backend) {
+  const Try& t = tries_[id];
+  Micros since = 0, grace = FromS(day_->drain_grace_s + 0.05);  // 50 ms longer on sockets
+  if (ToldState(t.gateway, backend, now, &since) != Listed::kActive && now > since + grace) {
+    Broke("drain", now, id,
+          "sent to " + day_->backends[static_cast<size_t>(backend)].name + " " +
+              std::to_string(ToS(now - since)) + " s after being told that it drains or is gone");
+  }
+  auto offline = offline_since_.find(backend);
+  if (offline != offline_since_.end() && now > offline->second + FromS(1.05)) {
+    Broke(
+        "drain", now, id,
+        "sent to " + day_->backends[static_cast<size_t>(backend)].name + ", which an operator had taken out");
+  }
+}
+
+void Judge::Arrived(Micros now, uint32_t id, int backend, Regret regret) {
+  Try& t = tries_[id];
+  const Arrival& a = day_->arrivals[t.arrival];
+  Note('a', now, id, static_cast<uint64_t>(backend));
+  if (t.taken == kNever)
+    Broke("duplicate", now, id, "an attempt for a request that its gateway had not been given");
+  if (t.attempts >= day_->try_limit)
+    Broke("duplicate", now, id,
+          "attempt " + std::to_string(t.attempts + 1) + " where " + std::to_string(day_->try_limit) +
+              " are allowed");
+  if (t.attempts++ == 0) {
+    double ceiling = 0;
+    t.quota = truth_.SendOn(a.customer, now, a.guess, &ceiling);
+    if (ceiling < 0)
+      Broke("ceiling", now, id,
+            "customer " + std::to_string(a.customer) + " is " + std::to_string(-ceiling) +
+                " units past its ceiling and slack");
+    MarkAs(t.quota == Quota::kInside       ? Mark::kInside
+           : t.quota == Quota::kBeyondRate ? Mark::kBeyondRate
+                                           : Mark::kBeyondOpen,
+           now, id);
+    units_on_ += a.guess;
+    if (t.quota != Quota::kInside) {
+      const DayPlan& plan = day_->plans[static_cast<size_t>(day_->customers[a.customer].plan)];
+      units_beyond_ += a.guess, SecondOf(now).beyond_units += a.guess;
+      over_cost_ += plan.over_cost * Worth(t.arrival, a.units);
+    }
+  }
+  ++t.out;
+  truth_.AttemptOut(a.customer);
+  ++attempts_, ++SecondOf(now).attempts;
+  cross_zone_ +=
+      day_->gateway_zone[static_cast<size_t>(t.gateway)] != day_->backends[static_cast<size_t>(backend)].zone
+          ? 1
+          : 0;
+  if (regret.best_s >= 0) ++regrets_, regret_known_s_ += regret.known_s, regret_best_s_ += regret.best_s;
+}
+
+void Judge::Back(Micros now, uint32_t id, bool served, double work_s) {
+  Try& t = tries_[id];
+  const Arrival& a = day_->arrivals[t.arrival];
+  --t.out;
+  truth_.AttemptBack(a.customer);
+  if (!served) wasted_s_ += work_s;
+  if (served && t.quota == Quota::kInside) truth_.Settle(a.customer, now, a.guess, a.units);
+}
+
+void Judge::MarkAs(Mark mark, Micros now, uint32_t id) {
+  Note('m', now, id, static_cast<uint64_t>(mark));
+  ++SecondOf(now).marks[static_cast<size_t>(mark)];
+}
+
+void Judge::Answered(Micros now, uint32_t id, Final final, bool room) {
+  Try& t = tries_[id];
+  const Arrival& a = day_->arrivals[t.arrival];
+  const DayClass& cls = day_->classes[static_cast<size_t>(a.cls)];
+  Note('f', now, id, static_cast<uint64_t>(final));
+  if (t.told && t.ended != kNever && now <= t.sent + t.patience)
+    Broke("one answer", now, id, "a second final answer");
+  bool late_client = now > t.sent + t.patience;
+  t.ended = now, t.told = true, t.final = final;
+  open_at_[static_cast<size_t>(t.gateway)].erase(id);
+  bool held_long = now - t.sent > t.patience / 2 && t.attempts == 0;
+  if (final == Final::kServed && t.attempts == 0)
+    Broke("one answer", now, id, "served, though no attempt reached a backend");
+  if (final == Final::kServed && !late_client) {
+    ++served_;
+    latency_(std::max(2e-4, ToS(now - t.sent)));
+    bool in_time = now <= a.at + FromS(cls.aim_s);
+    const DayPlan& plan = day_->plans[static_cast<size_t>(day_->customers[a.customer].plan)];
+    if (done_[t.arrival] == 0 && in_time && a.at >= kFirstCounted) {
+      double worth = Worth(t.arrival, a.units) * (t.quota == Quota::kInside ? 1 : plan.over_worth);
+      SecondOf(a.at).served += worth;
+      plan_served_[static_cast<size_t>(day_->customers[a.customer].plan)] += worth;
+    }
+    if (done_[t.arrival] != 1) done_[t.arrival] = in_time ? 1 : 2;
+    return;
+  }
+  if (final == Final::kRefused) {
+    ++refused_;
+    if (t.attempts == 0) {
+      Quota quota = truth_.Look(a.customer, now, a.guess);
+      Mark mark = quota == Quota::kBeyondRate   ? Mark::kForQuota
+                  : quota == Quota::kBeyondOpen ? Mark::kForCap
+                  : room                        ? Mark::kNeedless
+                                                : Mark::kForRoom;
+      MarkAs(mark, now, id);
+      if (truth_.Level(a.customer, now) >= 0.5) ++refused_with_half_;
+    }
+  } else {
+    ++failed_, ++SecondOf(now).failed;
+  }
+  if (held_long) hidden_worth_ += Worth(t.arrival, a.units);
+}
+
+void Judge::Left(Micros now, uint32_t id) {
+  Try& t = tries_[id];
+  if (t.told) return;
+  Note('l', now, id);
+  t.told = true;
+  t.ended = now;
+  open_at_[static_cast<size_t>(t.gateway)].erase(id);
+  ++failed_, ++SecondOf(now).failed;
+  if (t.attempts == 0) hidden_worth_ += Worth(t.arrival, day_->arrivals[t.arrival].units);
+}
+
+void Judge::Lost(Micros now, uint32_t id, const std::string& how) {
+  Try& t = tries_[id];
+  Note('x', now, id);
+  open_at_[static_cast<size_t>(t.gateway)].erase(id);
+  if (t.crossed_death) return;
+  t.told = true, t.ended = now;
+  ++lost_;
+  Broke("one answer", now, id, how);
+}
+
+void Judge::GatewayEnded(Micros now, int gateway) {
+  Note('g', now, static_cast<uint64_t>(gateway));
+  for (uint32_t id : open_at_[static_cast<size_t>(gateway)]) tries_[id].crossed_death = true;
+  open_at_[static_cast<size_t>(gateway)].clear();
+}
+
+void Judge::Crashed(Micros now, int gateway, const std::string& how) {
+  Broke("crash", now, UINT32_MAX, "gateway " + std::to_string(gateway) + " " + how);
+}
+
+void Judge::Tipped(Micros now, int backend, double told_share) {
+  Note('t', now, static_cast<uint64_t>(backend));
+  if (told_share >= kFullPush)
+    Broke(
+        "cold backend", now, UINT32_MAX,
+        day_->backends[static_cast<size_t>(backend)].name + " fell over: sent more than it bears while cold");
+}
+
+void Judge::CounterCalled(Micros now, int gateway) {
+  Note('c', now, static_cast<uint64_t>(gateway));
+  ++calls_, ++SecondOf(now).calls;
+}
+
+void Judge::Handshake(Micros now) { ++handshakes_, ++SecondOf(now).handshakes; }
+
+void Judge::Offline(Micros now, int backend, bool offline) {
+  if (offline)
+    offline_since_.insert({backend, now});
+  else
+    offline_since_.erase(backend);
+}
+
+Judge::Seen Judge::SeenAt(int gateway) const {
+  Seen seen;
+  for (auto* counts : {&seen.served, &seen.refused, &seen.failed, &seen.gone})
+    counts->assign(day_->classes.size(), 0);
+  for (const Try& t : tries_) {
+    if (t.gateway != gateway) continue;
+    seen.attempts += static_cast<uint64_t>(t.attempts);
+    auto cls = static_cast<size_t>(day_->arrivals[t.arrival].cls);
+    if (t.taken == kNever) continue;
+    auto& counts = !t.final                      ? seen.gone
+                   : *t.final == Final::kServed  ? seen.served
+                   : *t.final == Final::kRefused ? seen.refused
+                                                 : seen.failed;
+    ++counts[cls];
+  }
+  return seen;
+}
+
+// Seconds from the trouble's end until two seconds together are served at 95% of what was before it; -1:
+// never.
+double Judge::RecoverS(const Trouble& trouble) const {
+  size_t from = 1, to = static_cast<size_t>(trouble.from / kSecond),
+         end = static_cast<size_t>((trouble.to + kSecond - 1) / kSecond);
+  double offered = 0, served = 0;
+  for (size_t i = from; i < to && i < seconds_.size(); ++i)
+    offered += seconds_[i].offered, served += seconds_[i].served;
+  double before = Share(served, offered);
+  size_t last = static_cast<size_t>(day_->length / kSecond);
+  for (size_t i = end; i + 1 < last; ++i) {
+    double now =
+        Share(seconds_[i].served + seconds_[i + 1].served, seconds_[i].offered + seconds_[i + 1].offered);
+    if (now >= 0.95 * before) return static_cast<double>(i) - static_cast<double>(end);
+  }
+  return -1;
+}
+
+nlohmann::json Judge::Report(Micros now) const {
+  nlohmann::json report;
+  double offered = 0, served = 0;
+  // Of a day that ended early, what was asked for until then.
+  double asked_s = 0, first_tries = 0;
+  std::vector<double> plan_offered(day_->plans.size(), 0);
+  for (uint32_t i = 0; i < day_->arrivals.size(); ++i) {
+    const Arrival& a = day_->arrivals[i];
+    if (a.at >= now) break;
+    first_tries += 1;
+    if (a.at < kFirstCounted) continue;
+    plan_offered[static_cast<size_t>(day_->customers[a.customer].plan)] += Offered(i);
+    offered += Offered(i), asked_s += a.work_s;
+  }
+  for (const Second& s : seconds_) served += s.served;
+  double worst_window = 1, worst_plan = 1;
+  auto length = static_cast<size_t>(ToS(std::min(now, day_->length)));
+  for (size_t from = 1;
+       from + static_cast<size_t>(kWindowS) <= std::max(length, static_cast<size_t>(kWindowS) + 1); ++from) {
+    double o = 0, s = 0;
+    for (size_t i = from; i < from + static_cast<size_t>(kWindowS) && i < seconds_.size(); ++i)
+      o += seconds_[i].offered, s += seconds_[i].served;
+    if (o > 0) worst_window = std::min(worst_window, s / o);
+  }
+  for (size_t p = 0; p < plan_offered.size(); ++p) {
+    report["plans"][day_->plans[p].name] = Round(Share(plan_served_[p], plan_offered[p]));
+    if (plan_offered[p] > 0) worst_plan = std::min(worst_plan, plan_served_[p] / plan_offered[p]);
+  }
+  // Worth inside quotas that failed, or was served, only after its aim had gone by.
+  std::vector<Micros> last(day_->arrivals.size(), 0);
+  for (const Try& t : tries_) last[t.arrival] = std::max(last[t.arrival], t.ended == kNever ? 0 : t.ended);
+  double late_worth = 0;
+  for (uint32_t i = 0; i < last.size(); ++i) {
+    const Arrival& a = day_->arrivals[i];
+    bool late = last[i] > a.at + FromS(day_->classes[static_cast<size_t>(a.cls)].aim_s);
+    if (done_[i] != 1 && inside_[i] && late && a.at >= kFirstCounted) late_worth += Worth(i, a.units);
+  }
+  nlohmann::json prices = {
+      {"over_quota", Share(over_cost_, offered)},
+      {"counter", day_->counter_price * Share(static_cast<double>(calls_), first_tries)},
+      {"waste", day_->waste_price * Share(wasted_s_, asked_s)},
+      {"late", day_->late_price * Share(late_worth, offered)},
+      {"cross_zone", day_->cross_zone_price * Share(static_cast<double>(cross_zone_), first_tries)},
+      {"hidden", day_->hidden_price * Share(hidden_worth_, offered)},
+  };
+  double whole = Share(served, offered);
+  double g = day_->goal_whole * whole + day_->goal_window * worst_window + day_->goal_plan * worst_plan;
+  for (auto& [name, price] : prices.items()) {
+    g -= price.get<double>();
+    price = Round(price);
+  }
+  report["scenario"] = day_->scenario, report["seed"] = day_->seed;
+  report["gateways"] = day_->gateways, report["backends"] = day_->backends.size();
+  report["length_s"] = ToS(day_->length), report["until_s"] = ToS(now);
+  report["g"] = Round(g), report["served"] = Round(whole), report["worst_window"] = Round(worst_window),
+  report["worst_plan"] = Round(worst_plan);
+  report["prices"] = prices;
+  report["rules"] = broken_ == 0 ? "kept" : "broken";
+  report["broken"] = broken_;
+  for (const Breach& b : breaches_) {
+    report["breaches"].push_back({{"rule", b.rule},
+                                  {"at_s", ToS(b.at)},
+                                  {"request", b.request},
+                                  {"what", b.what},
+                                  {"gateways", b.gateways}});
+  }
+  nlohmann::json& counts = report["counts"];
+  counts = {{"first_tries", static_cast<uint64_t>(first_tries)},
+            {"tries", tries_.size()},
+            {"attempts", attempts_},
+            {"served", served_},
+            {"refused", refused_},
+            {"failed", failed_},
+            {"unheard", unheard_},
+            {"lost", lost_},
+            {"calls", calls_},
+            {"handshakes", handshakes_}};
+  std::array<uint64_t, static_cast<size_t>(Mark::kCount)> marks{};
+  for (const Second& s : seconds_) {
+    for (size_t m = 0; m < marks.size(); ++m) marks[m] += s.marks[m];
+  }
+  for (size_t m = 0; m < marks.size(); ++m) report["marks"][Name(static_cast<Mark>(m))] = marks[m];
+  report["refused_share"] = Round(Share(static_cast<double>(refused_), static_cast<double>(tries_.size())));
+  report["refused_with_half_share"] =
+      Round(Share(static_cast<double>(refused_with_half_), static_cast<double>(refused_)));
+  report["units_beyond_share"] = Round(Share(units_beyond_, units_on_));
+  report["tries_a_request"] = Round(Share(static_cast<double>(tries_.size()), first_tries));
+  report["regret_known_ms"] = Round(1e3 * Share(regret_known_s_, static_cast<double>(regrets_)));
+  report["regret_best_ms"] = Round(1e3 * Share(regret_best_s_, static_cast<double>(regrets_)));
+  auto total = boost::histogram::algorithm::sum(latency_);
+  for (auto [name, share] : {std::pair{"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"p999", 0.999}}) {
+    double sum = 0, at = 0;
+    for (auto&& cell : boost::histogram::indexed(latency_)) {
+      sum += *cell;
+      if (total > 0 && sum >= share * total) {
+        at = cell.bin(0).upper();
+        break;
+      }
+    }
+    report["latency_ms"][name] = std::round(at * 1e4) / 10;
+  }
+  for (const Trouble& t : day_->troubles) {
+    report["troubles"].push_back(
+        {{"kind", t.kind}, {"from_s", ToS(t.from)}, {"to_s", ToS(t.to)}, {"recover_s", RecoverS(t)}});
+  }
+  nlohmann::json& series = report["series"];
+  for (size_t i = 0; i < seconds_.size() && i <= static_cast<size_t>(ToS(now)); ++i) {
+    const Second& s = seconds_[i];
+    series["offered"].push_back(Round(s.offered)), series["served"].push_back(Round(s.served));
+    series["asked"].push_back(s.asked), series["tries"].push_back(s.tries),
+        series["attempts"].push_back(s.attempts);
+    series["calls"].push_back(s.calls), series["failed"].push_back(s.failed),
+        series["handshakes"].push_back(s.handshakes);
+    series["beyond_units"].push_back(Round(s.beyond_units));
+    for (size_t m = 0; m < s.marks.size(); ++m) series[Name(static_cast<Mark>(m))].push_back(s.marks[m]);
+  }
+  char digest[17];
+  std::snprintf(digest, sizeof(digest), "%016llx", static_cast<unsigned long long>(digest_));
+  report["digest"] = digest;
+  return report;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/model/judge.h
@@ -0,0 +1,141 @@
+// Owns the verdict on a day: it hears what really happened at clients, backends and the counter, whoever
+// plays the day, checks every rule, and marks each decision by the truth. Events have to come in order of
+// time.
+#ifndef LEMONCHUTE_LAB_MODEL_JUDGE_H_
+#define LEMONCHUTE_LAB_MODEL_JUDGE_H_
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "model/choice.h"
+#include "model/discovery.h"
+#include "model/truth.h"
+
+namespace lemonchute::lab {
+
+enum class Final { kServed, kRefused, kFailed };
+
+// One try of a client at a gateway; its id is its place in Judge::tries().
+struct Try {
+  uint32_t arrival = 0;
+  int number = 0;  // 0: the first
+  int gateway = 0;
+  Micros sent = 0, patience = 0;
+  // What became of it.
+  Micros taken = kNever, ended = kNever;
+  int attempts = 0, out = 0;
+  bool crossed_death = false;  // its gateway ended while it was open
+  bool told = false;           // a final answer was given, or the client had gone
+  std::optional<Final> final;  // as the client got it
+  Quota quota = Quota::kInside;
+};
+
+// What a refusal or an admission was, by the truth.
+enum class Mark { kInside, kBeyondRate, kBeyondOpen, kForQuota, kForCap, kForRoom, kNeedless, kCount };
+const char* Name(Mark mark);
+
+struct Breach {
+  std::string rule, what;
+  Micros at = 0;
+  uint64_t request = 0;
+  std::vector<int> gateways;  // that the client's request crossed, all its tries together
+};
+
+class Judge {
+ public:
+  Judge(const Day& day, const Discovery& discovery);
+
+  uint32_t Sent(Micros now, uint32_t arrival, int number, int gateway, Micros patience);
+  void Taken(Micros now, uint32_t id);
+  // The gateway could not be reached or closed the connection unheard. Failed, and not lost.
+  void Unheard(Micros now, uint32_t id);
+  // An attempt begins to be sent: the moment that rules on drains go by.
+  void Sending(Micros now, uint32_t id, int backend);
+  // An attempt has reached a backend whole; it is out from then on. A negative regret was not taken.
+  void Arrived(Micros now, uint32_t id, int backend, Regret regret);
+  // It is out no more. `work_s` was done for it, in vain unless it served.
+  void Back(Micros now, uint32_t id, bool served, double work_s);
+  // Work that a backend did for an attempt after it was out no more.
+  void Wasted(double work_s) { wasted_s_ += work_s; }
+  // The client has a whole final answer. `room`: a refusal's gateway knew of a backend with a free slot.
+  void Answered(Micros now, uint32_t id, Final final, bool room);
+  // The client has left, or its patience is over.
+  void Left(Micros now, uint32_t id);
+  // The gateway ended this request's connection without a whole answer, or never answered.
+  void Lost(Micros now, uint32_t id, const std::string& how);
+  void GatewayEnded(Micros now, int gateway);
+  void Crashed(Micros now, int gateway, const std::string& how);
+  void Tipped(Micros now, int backend, double told_share);
+  void CounterCalled(Micros now, int gateway);
+  void Handshake(Micros now);
+  void Offline(Micros now, int backend, bool offline);
+  void Scaled(double times) { truth_.Scale(times); }
+  void Broke(const std::string& rule, Micros now, uint32_t id, const std::string& what);
+
+  // Whether `gateway` has been told by `now` that `backend` is there, drains or has left; the last word
+  // counts.
+  Listed ToldState(int gateway, int backend, Micros now, Micros* since) const;
+
+  // What peers saw of one gateway, by class: final answers, tries whose client had gone, attempts.
+  struct Seen {
+    std::vector<uint64_t> served, refused, failed, gone;
+    uint64_t attempts = 0;
+  };
+  Seen SeenAt(int gateway) const;
+
+  const Try& At(uint32_t id) const { return tries_[id]; }
+  size_t tries() const { return tries_.size(); }
+  const std::vector<Breach>& breaches() const { return breaches_; }
+  uint64_t broken() const { return broken_; }
+  // Everything about the day as it stands: figures, prices, marks, series by the second, breaches.
+  nlohmann::json Report(Micros now) const;
+  uint64_t Digest() const;
+
+ private:
+  struct Second {
+    double offered = 0, served = 0;  // worth inside quotas, by when it was asked
+    double beyond_units = 0;
+    std::array<uint32_t, static_cast<size_t>(Mark::kCount)> marks{};
+    uint32_t asked = 0, tries = 0, attempts = 0, calls = 0, failed = 0, handshakes = 0;
+  };
+  double Worth(uint32_t arrival, double units) const;
+  double Offered(uint32_t arrival) const;
+  Second& SecondOf(Micros now);
+  void MarkAs(Mark mark, Micros now, uint32_t id);
+  void Note(char what, Micros now, uint64_t a, uint64_t b = 0);
+  double RecoverS(const Trouble& trouble) const;
+
+  const Day* day_;
+  const Discovery* discovery_;
+  Truth truth_;
+  std::vector<bool> inside_;  // by first tries
+  std::vector<Try> tries_;
+  std::vector<char> done_;                     // by arrival: 1 served in time, 2 served late
+  std::vector<std::vector<int>> versions_of_;  // by backend: discovery's versions that speak of it
+  mutable size_t versions_seen_ = 0;
+  std::map<int, Micros> offline_since_;
+  std::vector<std::set<uint32_t>> open_at_;  // by gateway: tries taken and not ended
+  std::vector<Breach> breaches_;
+  uint64_t broken_ = 0;
+  std::vector<Second> seconds_;
+  std::vector<double> plan_served_;
+  double over_cost_ = 0, wasted_s_ = 0, hidden_worth_ = 0;
+  uint64_t calls_ = 0, attempts_ = 0, cross_zone_ = 0, handshakes_ = 0, unheard_ = 0, lost_ = 0;
+  uint64_t served_ = 0, refused_ = 0, failed_ = 0, refused_with_half_ = 0;
+  double units_on_ = 0, units_beyond_ = 0;
+  double regret_known_s_ = 0, regret_best_s_ = 0;
+  uint64_t regrets_ = 0;
+  using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  boost::histogram::histogram<std::tuple<LogAxis>> latency_;
+  uint64_t digest_ = 0;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_JUDGE_H_
--- /dev/null
+++ b/lab/model/network.h
@@ -0,0 +1,37 @@
+// Owns the ways between machines: delay by zones with jitter, and zones that are cut off from the others.
+#ifndef LEMONCHUTE_LAB_MODEL_NETWORK_H_
+#define LEMONCHUTE_LAB_MODEL_NETWORK_H_
+
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+class Network {
+ public:
+  explicit Network(const Day& day)
+      : day_(&day), random_(day.seed, Stream::kNetwork), cut_(static_cast<size_t>(day.zones), 0) {}
+
+  // One way. The gateway's and the other's zone; the counter and discovery stand in zone 0.
+  Micros Way(int from_zone, int to_zone) {
+    return Draw(from_zone == to_zone ? day_->same_zone_s : day_->cross_zone_s);
+  }
+  Micros ClientWay() { return Draw(day_->client_s); }
+  void Cut(int zone, bool cut) { cut_[static_cast<size_t>(zone)] = cut ? 1 : 0; }
+  bool Passes(int from_zone, int to_zone) const {
+    return from_zone == to_zone ||
+           (cut_[static_cast<size_t>(from_zone)] == 0 && cut_[static_cast<size_t>(to_zone)] == 0);
+  }
+
+ private:
+  Micros Draw(double mean_s) { return std::max<Micros>(1, FromS(mean_s * random_.Spread(day_->jitter))); }
+
+  const Day* day_;
+  Random random_;
+  std::vector<char> cut_;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_NETWORK_H_
--- /dev/null
+++ b/lab/model/random.h
@@ -0,0 +1,65 @@
+// Owns the lab's random numbers: one generator with a stated algorithm (PCG XSL RR 128/64, O'Neill 2014) and
+// Boost.Random's distributions, whose algorithms don't depend on the standard library, so that a seed means
+// the same day everywhere. Streams of one seed are independent: what one part draws never moves another's
+// numbers.
+#ifndef LEMONCHUTE_LAB_MODEL_RANDOM_H_
+#define LEMONCHUTE_LAB_MODEL_RANDOM_H_
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/lognormal_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <cmath>
+#include <cstdint>
+#include <pcg_random.hpp>
+#include <utility>
+#include <vector>
+
+namespace lemonchute::lab {
+
+// What a stream is drawn for.
+enum class Stream : uint64_t {
+  kSite = 1,
+  kCustomers,
+  kArrivals,
+  kTimeline,
+  kNetwork,
+  kBackends,
+  kClients,
+  kSeeds
+};
+
+class Random {
+ public:
+  Random(uint64_t seed, Stream stream, uint64_t part = 0)
+      : engine_(seed, (static_cast<uint64_t>(stream) << 40) + part) {}
+
+  double Uniform(double lo, double hi) {
+    return hi > lo ? boost::random::uniform_real_distribution<double>(lo, hi)(engine_) : lo;
+  }
+  bool Chance(double share) { return share > 0 && Uniform(0, 1) < share; }
+  // From 0 to n - 1; n is at least 1.
+  int Below(int n) { return boost::random::uniform_int_distribution<int>(0, n - 1)(engine_); }
+  double Exponential(double mean) {
+    return mean > 0 ? boost::random::exponential_distribution<double>(1 / mean)(engine_) : 0;
+  }
+  // Mean 1 and the given coefficient of variation.
+  double Spread(double cv) {
+    if (cv <= 0) return 1;
+    double variance = std::log1p(cv * cv);
+    return boost::random::lognormal_distribution<double>(-variance / 2, std::sqrt(variance))(engine_);
+  }
+  template <typename T>
+  void Shuffle(std::vector<T>* items) {
+    for (size_t i = items->size(); i > 1; --i)
+      std::swap((*items)[i - 1], (*items)[static_cast<size_t>(Below(static_cast<int>(i)))]);
+  }
+  uint64_t Bits() { return engine_(); }
+
+ private:
+  pcg64 engine_;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_RANDOM_H_
--- /dev/null
+++ b/lab/model/scenario.cpp
@@ -0,0 +1,465 @@
+// The table of a scenario's keys, and the reader of its TOML form (toml++).
+#include "model/scenario.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace lemonchute::lab {
+namespace {
+
+constexpr double kAny =
+    1e9;  // larger than any figure of a site; keeps products within what a double holds exactly
+constexpr size_t kMostFaults = 64, kMostText = 1 << 20, kMostEntries = 64;
+
+using Faults = std::vector<ScenarioFault>;
+
+void Add(Faults* faults, int line, std::string key, std::string why) {
+  if (faults->size() < kMostFaults) faults->push_back({line, std::move(key), std::move(why)});
+}
+
+int LineOf(const toml::node& node) { return static_cast<int>(node.source().begin.line); }
+
+std::string Plain(double value) {
+  std::string text = std::to_string(value);
+  while (text.find('.') != std::string::npos && (text.back() == '0' || text.back() == '.')) {
+    bool point = text.back() == '.';
+    text.pop_back();
+    if (point) break;
+  }
+  return text;
+}
+
+// The range that `node` says, within what `figure` allows.
+template <typename Owner>
+void TakeFigure(const Figure<Owner>& figure, const toml::node& node, const std::string& key, Owner* owner,
+                Faults* faults) {
+  Range range;
+  auto number = [](const toml::node& n) { return n.value<double>(); };
+  if (const toml::array* both = node.as_array()) {
+    auto lo = both->size() == 2 ? number(*both->get(0)) : std::nullopt;
+    auto hi = both->size() == 2 ? number(*both->get(1)) : std::nullopt;
+    if (!lo || !hi) return Add(faults, LineOf(node), key, "is not a range of two numbers, [from, to]");
+    range = {*lo, *hi};
+  } else if (auto one = number(node)) {
+    range = {*one, *one};
+  } else if (auto flag = node.value<bool>()) {
+    range = {*flag ? 1.0 : 0.0, *flag ? 1.0 : 0.0};
+  } else {
+    return Add(faults, LineOf(node), key, "is neither a number nor a range, [from, to]");
+  }
+  if (!std::isfinite(range.lo) || !std::isfinite(range.hi))
+    return Add(faults, LineOf(node), key, "is not a finite number");
+  if (range.lo > range.hi)
+    return Add(faults, LineOf(node), key,
+               "is a range upside down: " + Plain(range.lo) + " is above " + Plain(range.hi));
+  if (range.lo < figure.least || range.hi > figure.most) {
+    return Add(faults, LineOf(node), key,
+               "has to lie from " + Plain(figure.least) + " to " + Plain(figure.most));
+  }
+  if (figure.whole && (range.lo != std::floor(range.lo) || range.hi != std::floor(range.hi))) {
+    return Add(faults, LineOf(node), key, "has to be a whole number");
+  }
+  owner->*figure.at = range;
+}
+
+template <typename Owner>
+const Figure<Owner>* Find(const std::vector<Figure<Owner>>& figures, std::string_view key) {
+  for (const Figure<Owner>& figure : figures) {
+    if (key == figure.key) return &figure;
+  }
+  return nullptr;
+}
+
+// A key that is one more letter off than it should be is most often a wrong unit: say which there is.
+template <typename Owner>
+std::string Unknown(const std::vector<Figure<Owner>>& figures, std::string_view key) {
+  auto stem = [](std::string_view k) { return k.substr(0, std::min(k.rfind('_'), k.size())); };
+  for (const Figure<Owner>& figure : figures) {
+    if (stem(figure.key) == stem(key)) return std::string("is not known; did you mean ") + figure.key + "?";
+  }
+  return "is not known";
+}
+
+template <typename Owner>
+void TakeTable(const std::vector<Figure<Owner>>& figures, const toml::table& table, const std::string& at,
+               const std::set<std::string_view>& texts, Owner* owner, Faults* faults) {
+  for (const auto& [name, node] : table) {
+    std::string_view key = name.str();
+    if (texts.count(key) != 0) continue;
+    std::string full = at.empty() ? std::string(key) : at + "." + std::string(key);
+    if (const Figure<Owner>* figure = Find(figures, key)) {
+      TakeFigure(*figure, node, full, owner, faults);
+    } else {
+      Add(faults, LineOf(node), full, Unknown(figures, key));
+    }
+  }
+}
+
+std::string Text(const toml::table& table, const char* key, const std::string& at, bool needed,
+                 Faults* faults) {
+  const toml::node* node = table.get(key);
+  std::string full = at.empty() ? key : at + "." + key;
+  if (node == nullptr) {
+    if (needed) Add(faults, LineOf(table), full, "is missing");
+    return "";
+  }
+  auto text = node->value<std::string>();
+  bool plain = text && text->size() <= 400 &&
+               std::all_of(text->begin(), text->end(), [](unsigned char c) { return c >= 0x20; });
+  if (!plain) Add(faults, LineOf(*node), full, "is not a plain text of at most 400 letters");
+  return plain ? *text : "";
+}
+
+// Names go into paths and headers: letters, digits and dashes.
+void CheckName(const std::string& name, int line, const std::string& key, Faults* faults) {
+  bool plain = !name.empty() && name.size() <= 40 && std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+  if (!plain) Add(faults, line, key, "has to be small letters, digits and dashes, at most 40");
+}
+
+// The tables of an array of tables, each with its place.
+template <typename Each>
+void ForEach(const toml::table& root, const char* key, Faults* faults, Each each) {
+  const toml::node* node = root.get(key);
+  if (node == nullptr) return;
+  const toml::array* items = node->as_array();
+  if (items == nullptr || items->size() > kMostEntries) {
+    return Add(faults, LineOf(*node), key,
+               "is not a list of at most " + std::to_string(kMostEntries) + " tables, [[" + key + "]]");
+  }
+  for (size_t i = 0; i < items->size(); ++i) {
+    std::string at = std::string(key) + "[" + std::to_string(i) + "]";
+    if (const toml::table* item = items->get(i)->as_table()) {
+      each(*item, at);
+    } else {
+      Add(faults, LineOf(*items->get(i)), at, "is not a table");
+    }
+  }
+}
+
+void TakeExpectations(const toml::table& table, Expectations* expect, Faults* faults) {
+  for (const auto& [name, node] : table) {
+    std::string_view key = name.str();
+    std::string full = "expect." + std::string(key);
+    if (key == "rules") {
+      auto text = node.value<std::string>();
+      if (!text || (*text != "kept" && *text != "any"))
+        Add(faults, LineOf(node), full, "has to be \"kept\" or \"any\"");
+      else
+        expect->rules_kept = *text == "kept";
+      continue;
+    }
+    std::optional<double>* figure = key == "g_at_least"          ? &expect->g_at_least
+                                    : key == "served_at_least"   ? &expect->served_at_least
+                                    : key == "recover_s_at_most" ? &expect->recover_s_at_most
+                                                                 : nullptr;
+    if (figure == nullptr) {
+      Add(faults, LineOf(node), full, "is not known");
+    } else if (auto value = node.value<double>(); value && std::isfinite(*value)) {
+      *figure = *value;
+    } else {
+      Add(faults, LineOf(node), full, "is not a number");
+    }
+  }
+}
+
+}  // namespace
+
+const std::vector<Figure<Scenario>>& ScenarioFigures() {
+  using S = Scenario;
+  static const std::vector<Figure<Scenario>> figures = {
+      {"day.length_s", &S::length_s, 1, 7200, false, "clients arrive for so long"},
+      {"day.settle_s", &S::settle_s, 0, 600, false, "and the day goes on for so long after"},
+      {"fleet.gateways", &S::gateways, 1, 10000, true, "gateways of the tier"},
+      {"fleet.backends", &S::backends, 1, 10000, true, "backends at the start"},
+      {"fleet.zones", &S::zones, 1, 16, true, "zones, over which both are spread evenly"},
+      {"fleet.memory_mb", &S::memory_mb, 16, 4096, true, "a gateway's memory, as its configuration tells"},
+      {"fleet.descriptors", &S::descriptors, 64, 65536, true, "a gateway's descriptors, told and set"},
+      {"backend.cores", &S::cores, 1, 64, true, "cores of a backend"},
+      {"backend.speed", &S::speed, 0.01, 100, false, "work of one core in a second, drawn for each backend"},
+      {"backend.slots_per_core", &S::slots_per_core, 1, 1000, false, "requests in work at once"},
+      {"backend.queue_per_core", &S::queue_per_core, 0, 10000, false, "waiting room beside the slots"},
+      {"backend.crowding_loss", &S::crowding_loss, 0, 0.95, false,
+       "efficiency lost by twice the requests of crowding_at"},
+      {"backend.crowding_at", &S::crowding_at, 0.5, 1000, false,
+       "requests held per core from which efficiency falls"},
+      {"backend.cold_share", &S::cold_share, 0.01, 1, false, "capacity just after a start"},
+      {"backend.cold_s", &S::cold_s, 0, 600, false, "until a backend is warm, evenly"},
+      {"backend.tip_multiple", &S::tip_multiple, 1, 100, false,
+       "times the present capacity that tips a cold backend"},
+      {"backend.tip_s", &S::tip_s, 0.1, 60, false, "in any span of this length"},
+      {"backend.tip_slack_requests", &S::tip_slack_requests, 0, 100, false,
+       "mean requests of slack for chance in that span"},
+      {"backend.connections_per_core", &S::connections_per_core, 1, 100000, false,
+       "connections that it holds"},
+      {"backend.handshake_work_ms", &S::handshake_work_ms, 0, 1000, false,
+       "work that a new connection costs it"},
+      {"backend.handshake_trips", &S::handshake_trips, 0, 10, false,
+       "ways there and back before the first request"},
+      {"backend.idle_s", &S::idle_s, 0.1, 3600, false, "closes a connection that was idle so long"},
+      {"backend.connect_timeout_ms", &S::connect_timeout_ms, 1, 60000, false,
+       "a gateway's limit on connecting"},
+      {"backend.error_share", &S::error_share, 0, 1, false, "requests that end in an error on a good day"},
+      {"backend.cancel_running", &S::cancel_running, 0, 1, false,
+       "1: a cancel stops running work too; between: chance of such a day"},
+      {"backend.drops_overdue", &S::drops_overdue, 0, 1, false,
+       "1: waiting work whose time is over is dropped; between: chance"},
+      {"network.same_zone_ms", &S::same_zone_ms, 0, 1000, false, "one way within a zone"},
+      {"network.cross_zone_ms", &S::cross_zone_ms, 0, 1000, false, "one way between zones"},
+      {"network.client_ms", &S::client_ms, 0, 1000, false, "one way between a client and a gateway"},
+      {"network.jitter", &S::jitter, 0, 3, false, "variation of a way, as a share of it"},
+      {"load.use", &S::use, 0, 10, false,
+       "work asked for inside quotas, as a share of what the fleet can do"},
+      {"load.most_excess", &S::most_excess, 0, 100, false,
+       "asked for beyond quotas over asked for inside, at most"},
+      {"customers.calm_use", &S::calm_use, 0, 1, false, "of its rate, that an ordinary customer uses"},
+      {"customers.full_share", &S::full_share, 0, 1, false, "of the customers, that use nearly all"},
+      {"customers.heavy_share", &S::heavy_share, 0, 1, false, "that ask for more all day"},
+      {"customers.heavy_times", &S::heavy_times, 1, 100, false, "so many times their rate"},
+      {"customers.spiky_share", &S::spiky_share, 0, 1, false, "that ask for more now and then"},
+      {"customers.spike_times", &S::spike_times, 1, 100, false, "so many times their rate"},
+      {"customers.spike_s", &S::spike_s, 0.01, 600, false, "for so long"},
+      {"customers.spike_every_s", &S::spike_every_s, 0.1, 3600, false, "about so often"},
+      {"customers.set_size", &S::set_size, 1, 64, true, "gateways of a customer's set"},
+      {"customers.skew", &S::skew, 0, 5, false, "unevenness within the set: weights as rank to minus this"},
+      {"customers.shift_s", &S::shift_s, 0.1, 3600, false, "until the weights of a set change"},
+      {"requests.units_top", &S::units_top, 1, 1000, true, "units of the largest request"},
+      {"requests.guess_cv", &S::guess_cv, 0, 3, false, "variation of the guess round the true units"},
+      {"clients.retries", &S::retries, 0, 20, true, "tries after the first"},
+      {"clients.try_share", &S::try_share, 0.01, 1, false,
+       "of a class's deadline, after which a try is given up"},
+      {"clients.backoff_ms", &S::backoff_ms, 0, 60000, false, "wait before a retry"},
+      {"clients.backoff_grows", &S::backoff_grows, 0, 1, false,
+       "1: the wait doubles with each retry; between: chance"},
+      {"clients.heeds_share", &S::heeds_share, 0, 1, false, "of the clients, that heed Retry-After"},
+      {"clients.most_retry_after_ms", &S::most_retry_after_ms, 0, 600000, false,
+       "the longest that they heed"},
+      {"clients.impatient_share", &S::impatient_share, 0, 1, false,
+       "of the tries, whose client leaves early"},
+      {"front.notice_s", &S::front_notice_s, 0, 60, false, "until the front sees that a gateway is down"},
+      {"discovery.notice_s", &S::list_notice_s, 0, 60, false,
+       "until a gateway is told that a backend drains or is gone"},
+      {"discovery.start_notice_s", &S::start_notice_s, 0, 60, false, "and that one has started"},
+      {"discovery.agent_ms", &S::agent_ms, 0, 10000, false, "until a started gateway has its first list"},
+      {"counter.calls_per_s", &S::calls_per_s, 1, 1e7, false, "calls of all parts together"},
+      {"counter.parts", &S::parts, 1, 64, true, "parts, by the hash of a name"},
+      {"counter.call_ms", &S::call_ms, 0, 1000, false, "a call's time beside the line and the way"},
+      {"counter.line_timeouts", &S::line_timeouts, 0, 100, false, "longest line of a part, in time-outs"},
+      {"counter.timeout_ms", &S::timeout_ms, 1, 60000, false, "a gateway's limit on a call"},
+      {"counter.lost_share", &S::lost_share, 0, 1, false, "of the answers, that never come"},
+      {"rules.drain_grace_ms", &S::drain_grace_ms, 0, 60000, false,
+       "from being told of a drain to the last send"},
+      {"rules.answer_grace_ms", &S::answer_grace_ms, 0, 60000, false,
+       "from a try's end to the latest final answer"},
+      {"rules.try_limit", &S::try_limit, 1, 20, true, "attempts of a request"},
+      {"rules.ceiling_slack", &S::slack_share, 0, 10, false,
+       "of the ceiling's burst; the largest request at least"},
+      {"prices.counter", &S::counter_price, 0, 1, false, "times calls over first tries"},
+      {"prices.waste", &S::waste_price, 0, 1, false, "times work that served nobody over work asked for"},
+      {"prices.late", &S::late_price, 0, 1, false, "times worth that failed only after its aim"},
+      {"prices.cross_zone", &S::cross_zone_price, 0, 1, false,
+       "times attempts between zones over first tries"},
+      {"prices.hidden", &S::hidden_price, 0, 1, false,
+       "of its worth, for a request held over half of its time and never sent on"},
+      {"goal.whole", &S::goal_whole, 0, 1, false, "weight of the whole day"},
+      {"goal.window", &S::goal_window, 0, 1, false, "weight of the worst 10 s"},
+      {"goal.plan", &S::goal_plan, 0, 1, false, "weight of the worst plan"},
+  };
+  return figures;
+}
+
+const std::vector<Figure<ClassFigures>>& ClassKeys() {
+  using C = ClassFigures;
+  static const std::vector<Figure<C>> figures = {
+      {"share", &C::share, 0, 1000, false, "of the requests, against the other classes"},
+      {"work_ms", &C::work_ms, 0.01, 60000, false, "mean work on one core of speed 1"},
+      {"work_cv", &C::work_cv, 0, 3, false, "variation of the work"},
+      {"aim_ms", &C::aim_ms, 1, 600000, false, "an answer later than this is worth nothing"},
+      {"deadline_ms", &C::deadline_ms, 1, 600000, false, "a client's whole patience"},
+      {"worth", &C::worth, 0, 1000, false, "of one unit"},
+  };
+  return figures;
+}
+
+const std::vector<Figure<PlanFigures>>& PlanKeys() {
+  using P = PlanFigures;
+  static const std::vector<Figure<P>> figures = {
+      {"share", &P::share, 0, 1000, false, "of the use inside quotas, against the other plans"},
+      {"units_per_s", &P::units_per_s, 0.01, kAny, false, "a customer's rate"},
+      {"burst_s", &P::burst_s, 0, 3600, false,
+       "of the rate, that may be used at once; two of the largest requests at least"},
+      {"price", &P::price, 0, 1000, false, "factor on the worth"},
+      {"over_cost", &P::over_cost, 0, 10, false, "of its worth, that a try sent on beyond the quota costs"},
+      {"over_worth", &P::over_worth, 0, 1, false, "of its worth, that it earns"},
+      {"open_times", &P::open_times, 0, 100, false,
+       "attempts out at once, times what the rate keeps out; 0: no cap"},
+      {"ceiling_times", &P::ceiling_times, 0, 100, false, "hard ceiling, times rate and burst; 0: none"},
+  };
+  return figures;
+}
+
+const std::vector<Figure<EventFigures>>& EventKeys() {
+  using E = EventFigures;
+  static const std::vector<Figure<E>> figures = {
+      {"at_s", &E::at_s, 0, 7200, false, "when it begins"},
+      {"for_s", &E::for_s, 0, 7200, false, "how long it lasts"},
+      {"part", &E::part, 0, 1, false, "share of what it befalls"},
+      {"size", &E::size, 0, 1000, false, "how strong it is"},
+      {"down_s", &E::down_s, 0, 600, false, "how long a process stays away"},
+  };
+  return figures;
+}
+
+const std::vector<EventKind>& EventKinds() {
+  static const std::vector<EventKind> kinds = {
+      {"burst", "size times the arrivals for for_s"},
+      {"shift", "part of the customers get new weights at one stroke"},
+      {"hot", "size of the traffic goes to the busiest gateway of its set, for for_s"},
+      {"kill", "part of the gateways are killed (SIGKILL) and come back after down_s"},
+      {"restart",
+       "part of the gateways are restarted (SIGTERM) over for_s, size of the fleet at a time, each away for "
+       "down_s"},
+      {"stop", "part of the gateways are stopped (SIGSTOP) for for_s and go on"},
+      {"replace", "part of the backends are replaced over for_s: the old one drains, a new one starts cold"},
+      {"crash", "part of the backends end at once and come back cold after for_s"},
+      {"fail", "part of the backends quickly fail size of their requests for for_s"},
+      {"slow", "part of the backends work at 1/size of their speed for for_s"},
+      {"silent", "part of the backends give no sign for for_s"},
+      {"zone-lost", "the backends of one zone end at once and come back cold after for_s"},
+      {"zone-cut", "one zone and the others don't hear each other for for_s"},
+      {"counter-down", "the counter gives no answer for for_s, then comes back empty"},
+      {"counter-loses", "size of the counter's answers are lost for for_s"},
+      {"discovery-silent", "no gateway is told of changes for for_s"},
+      {"resets", "size of the attempts break under way for for_s"},
+      {"offline",
+       "an operator takes part of the backends out; they are restarted, and are called back after for_s"},
+      {"drain", "an operator drains part of the gateways for for_s"},
+      {"scrape", "operators read every gateway's figures size times a second for for_s"},
+      {"retune", "a new configuration at SIGHUP: every quota times size"},
+      {"upgrade", "part of the gateways are replaced by a new process on the same listening socket"},
+  };
+  return kinds;
+}
+
+void CheckWhole(const Scenario& s, Faults* faults) {
+  if (s.classes.empty()) Add(faults, 0, "class", "there is none: add a [[class]]");
+  if (s.plans.empty()) Add(faults, 0, "plan", "there is none: add a [[plan]]");
+  auto sum = [](const auto& items) {
+    double total = 0;
+    for (const auto& item : items) total += item.share.lo;
+    return total;
+  };
+  if (!s.classes.empty() && sum(s.classes) <= 0)
+    Add(faults, 0, "class.share", "the shares add up to nothing");
+  if (!s.plans.empty() && sum(s.plans) <= 0) Add(faults, 0, "plan.share", "the shares add up to nothing");
+  for (size_t i = 0; i < s.classes.size(); ++i) {
+    if (s.classes[i].aim_ms.hi > s.classes[i].deadline_ms.lo)
+      Add(faults, 0, "class[" + std::to_string(i) + "].aim_ms", "may lie past deadline_ms");
+  }
+  if (s.zones.hi > s.gateways.lo || s.zones.hi > s.backends.lo)
+    Add(faults, 0, "fleet.zones", "there may be more zones than gateways or backends");
+  if (s.full_share.hi + s.heavy_share.hi + s.spiky_share.hi > 1)
+    Add(faults, 0, "customers", "full_share, heavy_share and spiky_share may add up to more than 1");
+  for (size_t i = 0; i < s.events.size(); ++i) {
+    const EventFigures& e = s.events[i];
+    std::string at = "event[" + std::to_string(i) + "]";
+    if (e.at_s.hi > s.length_s.lo)
+      Add(faults, e.line, at + ".at_s", "may lie past the day's end, " + Plain(s.length_s.lo) + " s");
+    bool known = std::any_of(EventKinds().begin(), EventKinds().end(),
+                             [&](const EventKind& k) { return e.kind == k.name; });
+    if (!known)
+      Add(faults, e.line, at + ".kind",
+          "\"" + e.kind + "\" is not known; `lemonchute-lab keys` lists the kinds");
+  }
+}
+
+ReadScenario ParseScenario(std::string_view text) {
+  ReadScenario read;
+  Faults* faults = &read.faults;
+  if (text.size() > kMostText) {
+    Add(faults, 0, "", "is longer than 1 MiB");
+    return read;
+  }
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    Add(faults, static_cast<int>(error.source().begin.line), "", std::string(error.description()));
+    return read;
+  }
+  Scenario* s = &read.scenario;
+  s->name = Text(root, "name", "", true, faults);
+  if (!s->name.empty()) CheckName(s->name, LineOf(*root.get("name")), "name", faults);
+  s->about = Text(root, "about", "", false, faults);
+  std::set<std::string, std::less<>> sections;
+  for (const Figure<Scenario>& figure : ScenarioFigures())
+    sections.insert(std::string(figure.key).substr(0, std::string_view(figure.key).find('.')));
+  for (const auto& [name, node] : root) {
+    std::string_view key = name.str();
+    if (key == "name" || key == "about" || key == "class" || key == "plan" || key == "event") continue;
+    const toml::table* table = node.as_table();
+    if (key == "expect" && table != nullptr) {
+      TakeExpectations(*table, &s->expect, faults);
+    } else if (sections.count(key) != 0 && table != nullptr) {
+      for (const auto& [inner, value] : *table) {
+        std::string full = std::string(key) + "." + std::string(inner.str());
+        if (const auto* figure = Find(ScenarioFigures(), full))
+          TakeFigure(*figure, value, full, s, faults);
+        else
+          Add(faults, LineOf(value), full, Unknown(ScenarioFigures(), full));
+      }
+    } else {
+      Add(faults, LineOf(node), std::string(key),
+          sections.count(key) != 0 || key == "expect" ? "is not a table" : "is not known");
+    }
+  }
+  ForEach(root, "class", faults, [&](const toml::table& table, const std::string& at) {
+    ClassFigures c;
+    c.name = Text(table, "name", at, true, faults);
+    if (!c.name.empty()) CheckName(c.name, LineOf(table), at + ".name", faults);
+    if (table.contains("effect")) c.effect = Text(table, "effect", at, true, faults);
+    if (c.effect != "free") Add(faults, LineOf(table), at + ".effect", "only \"free\" is modelled so far");
+    TakeTable(ClassKeys(), table, at, {"name", "effect"}, &c, faults);
+    s->classes.push_back(c);
+  });
+  ForEach(root, "plan", faults, [&](const toml::table& table, const std::string& at) {
+    PlanFigures p;
+    p.name = Text(table, "name", at, true, faults);
+    if (!p.name.empty()) CheckName(p.name, LineOf(table), at + ".name", faults);
+    TakeTable(PlanKeys(), table, at, {"name"}, &p, faults);
+    s->plans.push_back(p);
+  });
+  ForEach(root, "event", faults, [&](const toml::table& table, const std::string& at) {
+    EventFigures e;
+    e.line = LineOf(table);
+    e.kind = Text(table, "kind", at, true, faults);
+    TakeTable(EventKeys(), table, at, {"kind"}, &e, faults);
+    s->events.push_back(e);
+  });
+  CheckWhole(*s, faults);
+  return read;
+}
+
+std::optional<ScenarioFault> SetFigure(Scenario* scenario, std::string_view assignment) {
+  size_t equals = assignment.find('=');
+  std::string key(assignment.substr(0, equals));
+  const auto* figure = Find(ScenarioFigures(), key);
+  if (equals == std::string_view::npos)
+    return ScenarioFault{0, key, "has no '=': write KEY=NUMBER or KEY=[FROM,TO]"};
+  if (figure == nullptr) return ScenarioFault{0, key, Unknown(ScenarioFigures(), key)};
+  Faults faults;
+  try {
+    toml::table table = toml::parse("v = " + std::string(assignment.substr(equals + 1)));
+    TakeFigure(*figure, *table.get("v"), key, scenario, &faults);
+  } catch (const toml::parse_error&) {
+    return ScenarioFault{0, key, "is neither a number nor a range, [from, to]"};
+  }
+  if (!faults.empty()) return faults.front();
+  return std::nullopt;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/model/settings.cpp
@@ -0,0 +1,104 @@
+// Figures of the day in the settings' words. What a day draws and no gateway is told is left out.
+#include "model/settings.h"
+
+namespace lemonchute::lab {
+
+using nlohmann::json;
+
+std::string ZoneName(int zone) { return "zone-" + std::string(1, static_cast<char>('a' + zone)); }
+std::string GatewayName(int gateway) { return "n" + std::to_string(gateway); }
+
+json SettingsOf(const Day& day, int gateway, double scale) {
+  json zones = json::array(), classes = json::array(), plans = json::array();
+  for (int z = 0; z < day.zones; ++z) zones.push_back(ZoneName(z));
+  for (const DayClass& c : day.classes) {
+    classes.push_back({{"name", c.name},
+                       {"effect", "free"},
+                       {"aim-s", c.aim_s},
+                       {"hard-limit-s", c.deadline_s},
+                       {"window-s", 5.0},
+                       {"importance", c.worth},
+                       {"late-share", 0.0},
+                       {"dedup-scope", "all"},
+                       {"streamed", false}});
+  }
+  for (const DayPlan& p : day.plans) {
+    plans.push_back({{"name", p.name},
+                     {"units-per-s", p.rate * scale},
+                     {"store-size", p.burst * scale},
+                     {"never-over-rate", p.ceiling_rate * scale},
+                     {"ceiling-burst", p.ceiling_burst * scale},
+                     {"cap-slack", p.ceiling_slack},
+                     {"excess-worth", p.over_worth},
+                     {"over-cost", p.over_cost},
+                     {"value-factor", p.price},
+                     {"parallel", p.open}});
+  }
+  return {{"me", gateway},
+          {"peers-total", day.gateways},
+          {"zone", day.gateway_zone[static_cast<size_t>(gateway)]},
+          {"zones", zones},
+          {"kinds", {"std-2c"}},
+          {"resolution-s", 0.004},
+          {"discovery", "pushed"},
+          {"specifics",
+           {{"units-top", day.units_top},
+            {"may-count", true},
+            {"counter-timeout-s", day.count_timeout_s},
+            {"counter-price", day.counter_price},
+            {"trued-up", true},
+            {"peer-in-per-s", 60.0},
+            {"meter-period-s", 0.0}}},
+          {"prices",
+           {{"cross-zone", day.cross_zone_price}, {"waste", day.waste_price}, {"late-fail", day.late_price}}},
+          {"limits",
+           {{"cancel", true},
+            {"parallel-tries", true},
+            {"retry-after", true},
+            {"max-retry-after-s", day.most_retry_after_s},
+            {"try-limit", day.try_limit},
+            {"conn-idle-s", day.idle_s},
+            {"connect-timeout-s", day.connect_timeout_s},
+            {"streams-per-conn", 1}}},
+          {"invariants",
+           {{"cold-from", day.cold_from},
+            {"warm-after-s", day.warm_after_s},
+            {"tip-multiple", day.tip_multiple},
+            {"tip-after-s", day.tip_s},
+            {"ask-within-s", 10.0},
+            {"drain-grace-s", day.drain_grace_s},
+            {"grace-to-answer-s", 0.016}}},
+          {"request-classes", classes},
+          {"tiers-of-service", plans}};
+}
+
+json EntryOf(const Day& day, const Discovery::Entry& entry, const std::string& address, int64_t epoch_ms) {
+  const DayBackend& b = day.backends[static_cast<size_t>(entry.backend)];
+  const char* status = entry.state == Listed::kActive    ? "active"
+                       : entry.state == Listed::kLeaving ? "leaving"
+                                                         : "left";
+  return {{"name", b.name},
+          {"address", address},
+          {"zone", ZoneName(b.zone)},
+          {"type", "std-2c"},
+          {"group", entry.backend / 4},
+          {"status", status},
+          {"weight", 1.0},
+          {"since_ms", entry.since == 0 ? 0 : epoch_ms + entry.since / 1000}};
+}
+
+json ConfigurationOf(const Day& day, int gateway, const Addresses& addresses, const json& known,
+                     uint64_t seed, double scale) {
+  char seed_text[17];
+  std::snprintf(seed_text, sizeof(seed_text), "%016llx", static_cast<unsigned long long>(seed));
+  return {{"name", GatewayName(gateway)},
+          {"listen", addresses.listen},
+          {"discovery", addresses.discovery},
+          {"counter", addresses.counter},
+          {"seed", seed_text},
+          {"limits", {{"cores", 1.0}, {"memory_mb", day.memory_mb}, {"sockets", day.descriptors}}},
+          {"known", known},
+          {"settings", SettingsOf(day, gateway, scale)}};
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/model/settings.h
@@ -0,0 +1,32 @@
+// Owns a gateway's configuration for a day, as DEPLOY and WIRE word it.
+#ifndef LEMONCHUTE_LAB_MODEL_SETTINGS_H_
+#define LEMONCHUTE_LAB_MODEL_SETTINGS_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "model/discovery.h"
+
+namespace lemonchute::lab {
+
+// Where a gateway finds the others. Addresses are "127.0.0.1:5000".
+struct Addresses {
+  std::string listen, discovery, counter;
+  std::vector<std::string> backends;  // by place in Day::backends
+};
+
+// The `settings` object; quotas times `scale`.
+nlohmann::json SettingsOf(const Day& day, int gateway, double scale = 1);
+// One line of a list in discovery's form. `epoch_ms`: Unix time of the day's start.
+nlohmann::json EntryOf(const Day& day, const Discovery::Entry& entry, const std::string& address,
+                       int64_t epoch_ms);
+// The whole configuration file.
+nlohmann::json ConfigurationOf(const Day& day, int gateway, const Addresses& addresses,
+                               const nlohmann::json& known, uint64_t seed, double scale = 1);
+std::string ZoneName(int zone);
+std::string GatewayName(int gateway);
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_SETTINGS_H_
