--- /dev/null
+++ b/lab/play/real/clients.h
@@ -0,0 +1,43 @@
+// Owns the clients of a real day: sends every try at its drawn moment, reads its answer, and tries again.
+#ifndef LEMONCHUTE_LAB_PLAY_REAL_CLIENTS_H_
+#define LEMONCHUTE_LAB_PLAY_REAL_CLIENTS_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "play/real/backend_stands.h"
+
+namespace lemonchute::lab {
+
+class Clients {
+ public:
+  // `answers`: whether that gateway owes answers at all, as one that runs and is not stopped does.
+  Clients(World& world, BackendStands& backends, bool null_run, std::function<bool(int gateway)> answers);
+  void Begin();  // the day's arrivals, one after another
+
+ private:
+  struct Open {
+    std::shared_ptr<HttpConnection> connection;
+    bool again = false;  // sent once more, since a connection's end had crossed it
+  };
+  void Next(uint32_t arrival);
+  void Send(uint32_t arrival, int number, Micros at);
+  void Ask(uint32_t id, bool fresh);
+  void Done(uint32_t id, const HttpConnection::Answer& answer);
+  void Judge(uint32_t id, const HttpConnection::Answer& answer);
+  void Again(uint32_t id, double retry_after_s);
+  std::string Text(uint32_t id) const;
+
+  World& world_;
+  BackendStands& backends_;
+  const bool null_run_;
+  std::function<bool(int)> answers_;
+  std::vector<std::vector<std::shared_ptr<HttpConnection>>> idle_;  // by gateway; in a null run by backend
+  std::unordered_map<uint32_t, Open> open_;
+  std::vector<int> null_backend_;  // by try
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_PLAY_REAL_CLIENTS_H_
--- /dev/null
+++ b/lab/play/real/fleet.cpp
@@ -0,0 +1,418 @@
+// Every process is known by its id, and signals go to these ids alone.
+#include "play/real/fleet.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "model/settings.h"
+#include "play/real/real_day.h"
+
+namespace lemonchute::lab {
+namespace {
+
+constexpr Micros kReadyLimit = 30 * kSecond;  // clients come then at the latest (DEPLOY)
+constexpr Micros kReadyEach = 100'000;        // the front asks ten times a second (LATER)
+constexpr Micros kDoorLimit = 1 * kSecond;    // an operator's answer is due (LATER)
+constexpr Micros kGiveUpDoor = 5 * kSecond;
+constexpr Micros kEndLimit = 5 * kSecond;
+constexpr Micros kWatchEach = 50'000;
+
+}  // namespace
+
+Fleet::Fleet(World& world, Agents& agents, std::string program, std::string folder)
+    : world_(world),
+      agents_(agents),
+      program_(std::move(program)),
+      folder_(std::move(folder)),
+      seeds_(world.day.seed, Stream::kSeeds),
+      members_(static_cast<size_t>(world.day.gateways)) {
+  bool passed = std::any_of(world.day.incidents.begin(), world.day.incidents.end(),
+                            [](const Incident& i) { return i.what == Happening::kUpgrade; });
+  for (int g = 0; g < world.day.gateways; ++g) {
+    Member& m = members_[static_cast<size_t>(g)];
+    m.counter =
+        std::make_unique<CounterStand>(world.io, world.schedule, world.slice.Counter(g),
+                                       [this, g](std::string_view name, double amount, double keep_ms) {
+                                         Micros now = world_.Now();
+                                         world_.judge.CounterCalled(now, g);
+                                         int zone = world_.day.gateway_zone[static_cast<size_t>(g)];
+                                         if (!world_.network.Passes(zone, 0)) return Counter::Answer{};
+                                         Counter::Answer answer = world_.counter.Call(
+                                             now + world_.network.Way(zone, 0), name, amount, keep_ms);
+                                         if (answer.said != Counter::Said::kNothing)
+                                           answer.at += world_.network.Way(0, zone);
+                                         return answer;
+                                       });
+    if (!passed) continue;
+    // The platform holds the clients' socket, and every process of the gateway inherits it.
+    m.listening = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int yes = 1;
+    setsockopt(m.listening, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    auto at = world.slice.Gateway(g);
+    if (bind(m.listening, at.data(), static_cast<socklen_t>(at.size())) != 0 || listen(m.listening, 256) != 0)
+      throw CannotPlay("cannot listen on " + Slice::Text(at) + ": it is taken");
+  }
+}
+
+Fleet::~Fleet() {
+  for (Member& m : members_) {
+    m.processes.clear();
+    if (m.listening >= 0) close(m.listening);
+  }
+}
+
+std::string Fleet::Write(int gateway) {
+  Addresses addresses;
+  addresses.listen = Slice::Text(world_.slice.Gateway(gateway));
+  addresses.discovery = Slice::Text(world_.slice.Agent(gateway));
+  addresses.counter = Slice::Text(world_.slice.Counter(gateway));
+  nlohmann::json config =
+      ConfigurationOf(world_.day, gateway, addresses, agents_.Known(gateway), seeds_.Bits(), scale_);
+  std::string path = folder_ + "/" + GatewayName(gateway) + ".json", fresh = path + ".new";
+  std::ofstream(fresh) << config.dump(1);
+  std::filesystem::rename(fresh, path);
+  return path;
+}
+
+void Fleet::Launch(int gateway, bool beside) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  std::string name = GatewayName(gateway);
+  if (!beside) {  // empty at each start, but for a new version beside the old
+    m.temporary = folder_ + "/" + name + "-tmp-" + std::to_string(m.launches);
+    std::filesystem::create_directory(m.temporary);
+  }
+  m.ops = m.launches % 2;
+  Process::Start start;
+  start.program = program_;
+  start.environment = {{"LB_NAME", name},
+                       {"LB_LISTEN", Slice::Text(world_.slice.Gateway(gateway))},
+                       {"LB_DISCOVERY", Slice::Text(world_.slice.Agent(gateway))},
+                       {"LB_CONFIG", Write(gateway)},
+                       {"LB_OPS", Slice::Text(world_.slice.Ops(gateway, m.ops))},
+                       {"TMPDIR", m.temporary}};
+  if (m.listening >= 0) start.environment["LB_PASSED_SOCKET"] = "4";
+  start.listening = m.listening;
+  start.log = folder_ + "/" + name + ".log";
+  start.descriptors = world_.day.descriptors;
+  m.processes.push_back(std::make_unique<Process>(start));
+  m.expected_end = false;
+  ++m.launches;
+}
+
+void Fleet::Start(std::function<void(std::vector<int>)> ready) {
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    Launch(g, false);
+    AskReady(g);
+  }
+  Watch();
+  // Looks until all are ready; the last look is at the limit.
+  auto look = std::make_shared<std::function<void()>>();
+  Micros until = world_.Now() + kReadyLimit;
+  *look = [this, look, until, ready = std::move(ready)] {
+    std::vector<int> late;
+    for (int g = 0; g < world_.day.gateways; ++g) {
+      if (!members_[static_cast<size_t>(g)].ready) late.push_back(g);
+    }
+    if (!late.empty() && world_.Now() < until && !ending_) return world_.schedule.After(kReadyEach, *look);
+    auto done = ready;
+    world_.io.post([done, late] { done(late); });
+    *look = {};
+  };
+  world_.schedule.After(kReadyEach, *look);
+}
+
+// As the front does: ten times a second, on a connection that is kept.
+void Fleet::AskReady(int gateway) {
+  if (ending_) return;
+  Member& m = members_[static_cast<size_t>(gateway)];
+  world_.schedule.After(kReadyEach, [this, gateway] { AskReady(gateway); });
+  if (m.asking) return;
+  m.asking = true;
+  auto connection = m.front ? m.front : std::make_shared<HttpConnection>(world_.io);
+  m.front = connection;
+  Micros asked = world_.Now();
+  connection->Ask(world_.slice.Gateway(gateway), "GET /-/ready HTTP/1.1\r\nHost: front\r\n\r\n",
+                  [this, gateway, connection](const HttpConnection::Answer& answer) {
+                    Member& member = members_[static_cast<size_t>(gateway)];
+                    if (member.front != connection) return;
+                    member.asking = false;
+                    if (!answer.keeps) member.front.reset();
+                    if (ending_) return;
+                    member.ready = answer.status == 200;
+                    if (member.ready)
+                      world_.front.Ready(gateway);
+                    else if (answer.status != 0)
+                      world_.front.Draining(gateway, world_.Now());
+                    else
+                      world_.front.Gone(gateway, world_.Now());
+                  });
+  world_.schedule.After(kSecond, [this, gateway, connection, asked] {
+    Member& member = members_[static_cast<size_t>(gateway)];
+    if (member.front != connection || !member.asking || world_.Now() - asked < kSecond) return;
+    // No answer at all: the process is stopped, or cut off.
+    member.front.reset();
+    member.asking = member.ready = false;
+    connection->Close();
+    world_.front.Gone(gateway, asked);
+  });
+}
+
+void Fleet::Watch() {
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    Member& m = members_[static_cast<size_t>(g)];
+    for (; m.told_ended < m.processes.size(); ++m.told_ended) {
+      Process& process = *m.processes[m.told_ended];
+      auto ended = process.Ended();
+      if (!ended) break;
+      bool newest = m.told_ended + 1 == m.processes.size();
+      if (newest && !m.expected_end && !ending_) {
+        world_.judge.Crashed(world_.Now(), g, *ended);
+        world_.judge.GatewayEnded(world_.Now(), g);
+        m.whole_day = false;
+      }
+    }
+  }
+  if (!ending_) world_.schedule.After(kWatchEach, [this] { Watch(); });
+}
+
+void Fleet::Kill(int gateway) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  m.expected_end = true;
+  m.whole_day = m.ready = false;
+  if (!m.processes.empty() && !m.processes.back()->Ended()) {
+    world_.judge.GatewayEnded(world_.Now(), gateway);
+    m.processes.back()->Signal(SIGKILL);
+  }
+}
+
+void Fleet::Terminate(int gateway) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  m.expected_end = true;
+  m.whole_day = false;
+  if (!m.processes.empty()) m.processes.back()->Signal(SIGTERM);
+}
+
+void Fleet::Revive(int gateway) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  if (!m.processes.empty() && !m.processes.back()->Ended()) {
+    // Its end is on its way: a killed process is gone within a moment.
+    return world_.schedule.After(kWatchEach, [this, gateway] { Revive(gateway); });
+  }
+  m.stopped = false;
+  Launch(gateway, false);
+}
+
+void Fleet::Stop(int gateway, bool stop) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  m.stopped = stop;
+  if (!m.processes.empty()) m.processes.back()->Signal(stop ? SIGSTOP : SIGCONT);
+}
+
+// The platform's order: the new process, its yes, SIGTERM to the old one, SIGKILL after the longest deadline.
+void Fleet::Upgrade(int gateway) {
+  Member& m = members_[static_cast<size_t>(gateway)];
+  m.whole_day = false;
+  Process* old = m.processes.back().get();
+  Launch(gateway, true);
+  int ops = m.ops;
+  double deadline = 0;
+  for (const DayClass& c : world_.day.classes) deadline = std::max(deadline, c.deadline_s);
+  Micros until = world_.Now() + 6 * kSecond;
+  auto ask = std::make_shared<std::function<void()>>();
+  *ask = [this, ask, gateway, ops, old, deadline, until] {
+    Call(gateway, ops, "GET", "/control/ready", false,
+         [this, ask, gateway, old, deadline, until](const HttpConnection::Answer& answer) {
+           if (answer.status != 200) {
+             if (world_.Now() < until) return world_.schedule.After(kReadyEach, *ask);
+             return world_.judge.Broke("upgrade", world_.Now(), UINT32_MAX,
+                                       GatewayName(gateway) + ": the new process was not ready within 6 s");
+           }
+           old->Signal(SIGTERM);
+           world_.schedule.After(FromS(std::min(deadline, 3.0) + 0.7), [old] {
+             if (!old->Ended()) old->Signal(SIGKILL);
+           });
+         });
+  };
+  world_.schedule.After(kReadyEach, *ask);
+}
+
+void Fleet::Retune(double scale) {
+  scale_ *= scale;
+  world_.judge.Scaled(scale);
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    Write(g);
+    for (auto& process : members_[static_cast<size_t>(g)].processes) {
+      if (!process->Ended()) process->Signal(SIGHUP);
+    }
+  }
+}
+
+void Fleet::Call(int gateway, int ops, const std::string& method, const std::string& path, bool wants_yes,
+                 OnAnswer done) {
+  auto connection = std::make_shared<HttpConnection>(world_.io);
+  Micros asked = world_.Now();
+  ++door_.calls;
+  auto open = std::make_shared<bool>(true);
+  connection->Ask(
+      world_.slice.Ops(gateway, ops),
+      method + " " + path + " HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+      [this, gateway, asked, open, wants_yes, done](const HttpConnection::Answer& answer) {
+        *open = false;
+        Micros took = world_.Now() - asked;
+        const Member& m = members_[static_cast<size_t>(gateway)];
+        if (m.whole_day && !m.stopped) {  // a door that was there all day owes an answer
+          door_.worst = std::max(door_.worst, took);
+          door_.late += took > kDoorLimit ? 1 : 0;
+          door_.wrong += wants_yes && answer.status / 100 != 2 ? 1 : 0;
+        }
+        if (done) done(answer);
+      });
+  world_.schedule.After(kGiveUpDoor, [connection, open] {
+    if (*open) connection->Close();
+  });
+}
+
+void Fleet::Offline(int backend, bool offline) {
+  world_.judge.Offline(world_.Now(), backend, offline);
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    Call(g, members_[static_cast<size_t>(g)].ops, "PUT",
+         "/control/backends/" + world_.day.backends[static_cast<size_t>(backend)].name +
+             (offline ? "/offline" : "/online"),
+         true);
+  }
+}
+
+void Fleet::Drain(int gateway, bool drain) {
+  Call(gateway, members_[static_cast<size_t>(gateway)].ops, "PUT",
+       drain ? "/control/out-of-service" : "/control/in-service", true);
+}
+
+void Fleet::Scrape(double times_a_second) {
+  scrape_ = times_a_second;
+  ++scrape_round_;
+  if (scrape_ > 0) ScrapeOnce(scrape_round_);
+}
+
+void Fleet::ScrapeOnce(uint64_t round) {
+  if (round != scrape_round_ || ending_) return;
+  for (int g = 0; g < world_.day.gateways; ++g)
+    Call(g, members_[static_cast<size_t>(g)].ops, "GET", "/control/counters", true);
+  world_.schedule.After(FromS(1 / scrape_), [this, round] { ScrapeOnce(round); });
+}
+
+bool Fleet::Answers(int gateway) const {
+  const Member& m = members_[static_cast<size_t>(gateway)];
+  return !m.stopped && !m.expected_end;
+}
+
+// LATER's bounds: off by 3 or by 1%, attempts by 2%; requests whose client had gone may count anywhere.
+void Fleet::Check(int gateway, const std::string& figures) {
+  std::map<std::string, double> told;
+  std::istringstream lines(figures);
+  for (std::string line; std::getline(lines, line);) {
+    if (size_t equals = line.find('='); equals != std::string::npos)
+      told[line.substr(0, equals)] = std::strtod(line.c_str() + equals + 1, nullptr);
+  }
+  Judge::Seen seen = world_.judge.SeenAt(gateway);
+  auto compare = [&](const std::string& name, double low, double high, double share) {
+    double slack = std::max(3.0, share * high);
+    ++figures_checked_;
+    if (told.count(name) != 0 && told[name] >= low - slack && told[name] <= high + slack) return;
+    ++figures_off_;
+    std::string says = told.count(name) != 0 ? std::to_string(static_cast<long>(told[name])) : "nothing";
+    world_.judge.Broke("figures", world_.Now(), UINT32_MAX,
+                       GatewayName(gateway) + " says " + says + " for " + name + ", peers saw " +
+                           std::to_string(static_cast<long>(low)) + " to " +
+                           std::to_string(static_cast<long>(high)));
+  };
+  for (size_t c = 0; c < world_.day.classes.size(); ++c) {
+    const std::string& name = world_.day.classes[c].name;
+    auto gone = static_cast<double>(seen.gone[c]);
+    compare("ok." + name, static_cast<double>(seen.served[c]), static_cast<double>(seen.served[c]) + gone,
+            0.01);
+    compare("shed." + name, static_cast<double>(seen.refused[c]), static_cast<double>(seen.refused[c]) + gone,
+            0.01);
+    compare("errors." + name, static_cast<double>(seen.failed[c]), static_cast<double>(seen.failed[c]) + gone,
+            0.01);
+  }
+  compare("tries", static_cast<double>(seen.attempts), static_cast<double>(seen.attempts), 0.02);
+}
+
+void Fleet::Compare(std::function<void()> done) {
+  auto left = std::make_shared<int>(1);
+  auto one = [left, done] {
+    if (--*left == 0) done();
+  };
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    const Member& m = members_[static_cast<size_t>(g)];
+    if (!m.whole_day || m.stopped) continue;
+    ++*left;
+    Call(g, m.ops, "GET", "/control/counters", true, [this, g, one](const HttpConnection::Answer& answer) {
+      if (answer.status == 200) Check(g, answer.body);
+      one();
+    });
+  }
+  one();
+}
+
+void Fleet::End(std::function<void()> done) {
+  ending_ = true;
+  for (Member& m : members_) {
+    for (auto& process : m.processes) {
+      process->Use();
+      process->Signal(SIGCONT);
+      process->Signal(SIGTERM);
+    }
+  }
+  Micros until = world_.Now() + kEndLimit;
+  auto look = std::make_shared<std::function<void()>>();
+  *look = [this, look, until, done] {
+    bool all = true;
+    for (Member& m : members_) {
+      for (auto& process : m.processes) all &= process->Ended().has_value();
+    }
+    if (!all && world_.Now() < until) return world_.schedule.After(kWatchEach, *look);
+    for (Member& m : members_) {
+      for (auto& process : m.processes) process->Signal(SIGKILL);
+    }
+    auto last = done;
+    world_.io.post(last);
+    *look = {};
+  };
+  (*look)();
+}
+
+nlohmann::json Fleet::Report() {
+  nlohmann::json report = {{"door",
+                            {{"calls", door_.calls},
+                             {"late", door_.late},
+                             {"wrong", door_.wrong},
+                             {"worst_ms", static_cast<double>(door_.worst) / 1000}}},
+                           {"figures", {{"checked", figures_checked_}, {"off", figures_off_}}}};
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    Member& m = members_[static_cast<size_t>(g)];
+    nlohmann::json& one = report["processes"][GatewayName(g)];
+    double cpu_s = 0;
+    long peak = 0;
+    for (auto& process : m.processes) {
+      ProcessUse use = process->Use();
+      cpu_s += use.cpu_s, peak = std::max(peak, use.peak_kb);
+    }
+    std::error_code none;
+    auto log = std::filesystem::file_size(folder_ + "/" + GatewayName(g) + ".log", none);
+    one = {{"starts", m.launches},
+           {"cpu_s", cpu_s},
+           {"peak_mb", static_cast<double>(peak) / 1024},
+           {"log_bytes", none ? 0 : log}};
+  }
+  return report;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/play/real/real_day.cpp
@@ -0,0 +1,214 @@
+// Joins the parts: the gateways come up, the day begins, its incidents happen, the judge hears of everything,
+// and all processes are gone at the end.
+#include "play/real/real_day.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "play/real/clients.h"
+#include "play/real/fleet.h"
+
+namespace lemonchute::lab {
+namespace {
+
+constexpr int kMostGateways = 30;
+// The figures may lag by so much (LATER).
+constexpr Micros kFiguresLag = 600'000;
+
+// A folder that ends with the day, or the one that was asked for.
+class Folder {
+ public:
+  explicit Folder(const std::string& wanted) : path_(wanted), ends_(wanted.empty()) {
+    if (ends_) {
+      std::string form = (std::filesystem::temp_directory_path() / "lemonchute-lab-XXXXXX").string();
+      if (mkdtemp(form.data()) == nullptr)
+        throw CannotPlay("cannot make a folder in " + std::filesystem::temp_directory_path().string());
+      path_ = form;
+    } else {
+      std::error_code failed;
+      std::filesystem::create_directories(path_, failed);
+      if (failed) throw CannotPlay("cannot make the folder " + path_ + ": " + failed.message());
+    }
+  }
+  ~Folder() {
+    std::error_code ignored;
+    if (ends_) std::filesystem::remove_all(path_, ignored);
+  }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  bool ends_;
+};
+
+double OwnCpu() {
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
+         1e-6 * static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec);
+}
+
+class RealDay {
+ public:
+  RealDay(const Day& day, const RealOptions& options)
+      : day_(day),
+        options_(options),
+        folder_(options.folder),
+        world_(day),
+        agents_(world_),
+        backends_(world_, options.visitors),
+        fleet_(world_, agents_, options.program, folder_.path()),
+        clients_(world_, backends_, options.null_run,
+                 [this](int g) { return options_.null_run || fleet_.Answers(g); }),
+        signals_(world_.io, SIGINT, SIGTERM) {}
+
+  nlohmann::json Play() {
+    double cpu_before = OwnCpu();
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      stopped_ = true;
+      Finish();
+    });
+    if (options_.null_run)
+      Begin({});
+    else
+      fleet_.Start([this](std::vector<int> late) { Begin(std::move(late)); });
+    world_.io.run();
+    nlohmann::json report = world_.judge.Report(std::min(day_.end, ended_));
+    report["play"] = options_.null_run ? "null" : "real";
+    report["stopped"] = stopped_;
+    report["lab"] = {{"cpu_s", OwnCpu() - cpu_before},
+                     {"late_p50_ms", static_cast<double>(world_.schedule.LateAt(0.5)) / 1000},
+                     {"late_p99_ms", static_cast<double>(world_.schedule.LateAt(0.99)) / 1000},
+                     {"late_worst_ms", static_cast<double>(world_.schedule.LateAt(1)) / 1000}};
+    auto beside = [&](double share) {
+      std::sort(world_.beside.begin(), world_.beside.end());
+      if (world_.beside.empty()) return 0.0;
+      size_t at = std::min(world_.beside.size() - 1,
+                           static_cast<size_t>(share * static_cast<double>(world_.beside.size())));
+      return static_cast<double>(world_.beside[at]) / 1000;
+    };
+    report["beside_backend_ms"] = {{"p50", beside(0.5)}, {"p90", beside(0.9)}, {"p99", beside(0.99)}};
+    if (!options_.null_run) report.update(fleet_.Report());
+    return report;
+  }
+
+ private:
+  void Begin(std::vector<int> late) {
+    if (finishing_) return;
+    world_.schedule.Begin(Schedule::Clock::now());
+    agents_.Begin();
+    for (int g : late) {
+      world_.judge.Crashed(0, g, "was not ready within 30 s");
+      world_.front.Gone(g, 0);
+    }
+    clients_.Begin();
+    for (const Incident& incident : day_.incidents)
+      world_.schedule.At(incident.at, [this, &incident] { Happen(incident); });
+    world_.schedule.At(day_.end + kFiguresLag, [this] { Finish(); });
+    if (options_.watch) Show();
+  }
+
+  void Show() {
+    if (finishing_) return;
+    nlohmann::json now = world_.judge.Report(world_.Now());
+    for (int g = 0; g < day_.gateways; ++g) {
+      now["doors"].push_back(Slice::Text(world_.slice.Ops(g, 0))),
+          now["listens"].push_back(Slice::Text(world_.slice.Gateway(g)));
+    }
+    for (const DayBackend& b : day_.backends) now["names"].push_back(b.name);
+    now["plan"] = day_.plans[0].name, now["class"] = day_.classes[0].name;
+    options_.watch(now);
+    world_.schedule.After(kSecond, [this] { Show(); });
+  }
+
+  void Finish() {
+    if (finishing_) return;
+    finishing_ = true;
+    ended_ = world_.Now();
+    if (options_.null_run) return world_.io.stop();
+    auto end = [this] { fleet_.End([this] { world_.io.stop(); }); };
+    if (stopped_) return end();
+    fleet_.Compare(end);
+  }
+
+  void Happen(const Incident& incident) {
+    if (options_.null_run || finishing_) return;
+    bool on = incident.size > 0;
+    for (int t : incident.targets) {
+      switch (incident.what) {
+        case Happening::kKill: fleet_.Kill(t); break;
+        case Happening::kTerminate: fleet_.Terminate(t); break;
+        case Happening::kRevive: fleet_.Revive(t); break;
+        case Happening::kStop: fleet_.Stop(t, true); break;
+        case Happening::kContinue: fleet_.Stop(t, false); break;
+        case Happening::kDrainBackend: agents_.Tell({t, Listed::kLeaving, 0}); break;
+        case Happening::kLeave:
+          backends_.Leave(t);
+          agents_.Tell({t, Listed::kLeft, 0});
+          break;
+        case Happening::kEnd: backends_.End(t); break;
+        case Happening::kStart:
+          backends_.Start(t);
+          agents_.Tell({t, Listed::kActive, world_.Now()});
+          break;
+        case Happening::kFail: backends_.Fail(t, incident.size); break;
+        case Happening::kSlow: backends_.Slow(t, incident.size); break;
+        case Happening::kSilent: backends_.Silent(t, on); break;
+        case Happening::kCut: world_.network.Cut(t, on); break;
+        case Happening::kOffline: fleet_.Offline(t, true); break;
+        case Happening::kOnline: fleet_.Offline(t, false); break;
+        case Happening::kOutOfService: fleet_.Drain(t, true); break;
+        case Happening::kInService: fleet_.Drain(t, false); break;
+        case Happening::kUpgrade: fleet_.Upgrade(t); break;
+        default: break;
+      }
+    }
+    switch (incident.what) {
+      case Happening::kResets: backends_.Resets(incident.size); break;
+      case Happening::kCounterDown: world_.counter.Down(on); break;
+      case Happening::kCounterLoses: world_.counter.Lose(incident.size); break;
+      case Happening::kDiscoverySilent: agents_.Silent(on); break;
+      case Happening::kRetune: fleet_.Retune(incident.size); break;
+      case Happening::kScrape: fleet_.Scrape(incident.size); break;
+      default: break;
+    }
+  }
+
+  const Day& day_;
+  const RealOptions options_;
+  Folder folder_;
+  World world_;
+  Agents agents_;
+  BackendStands backends_;
+  Fleet fleet_;
+  Clients clients_;
+  asio::signal_set signals_;
+  Micros ended_ = 0;
+  bool stopped_ = false, finishing_ = false;
+};
+
+}  // namespace
+
+nlohmann::json PlayReal(const Day& day, const RealOptions& options) {
+  if (day.gateways > kMostGateways) {
+    throw CannotPlay("a day on real sockets has at most " + std::to_string(kMostGateways) +
+                     " gateways, this one has " + std::to_string(day.gateways) + ": play it in virtual time");
+  }
+  if (!options.null_run && access(options.program.c_str(), X_OK) != 0)
+    throw CannotPlay("there is no gateway program at " + options.program +
+                     ": build it, or name it with --gateway");
+  try {
+    return RealDay(day, options).Play();
+  } catch (const boost::system::system_error& error) {
+    throw CannotPlay(std::string("the site's addresses could not be had: ") + error.what());
+  } catch (const std::system_error& error) {
+    throw CannotPlay(error.what());
+  }
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/play/virtual_day.h
@@ -0,0 +1,20 @@
+// Owns a day in virtual time: the decision module of every gateway on the model's clock, with sockets,
+// backends, counter and clients as events. One thread; the same day gives the same report, byte for byte.
+#ifndef LEMONCHUTE_LAB_PLAY_VIRTUAL_DAY_H_
+#define LEMONCHUTE_LAB_PLAY_VIRTUAL_DAY_H_
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+// Plays `day` to its end and gives the judge's report. `progress`, where given, goes from 0 to 1000.
+nlohmann::json PlayVirtual(const Day& day, std::atomic<int>* progress = nullptr);
+// What happens on a day that only real processes can show; their names are in the report as `not_played`.
+bool OnlyReal(Happening what);
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_PLAY_VIRTUAL_DAY_H_
