--- /dev/null
+++ b/lab/cli/tables.cpp
@@ -0,0 +1,175 @@
+// Columns are as wide as their widest cell; numbers to the right.
+#include "cli/tables.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "experiment/statistics.h"
+#include "model/scenario.h"
+
+namespace lemonchute::lab {
+namespace {
+
+using nlohmann::json;
+using Row = std::vector<std::string>;
+
+std::string Fixed(double value, int digits = 3) {
+  if (std::isinf(value)) return value < 0 ? "-inf" : "inf";
+  char text[40];
+  std::snprintf(text, sizeof(text), "%.*f", digits, value);
+  return text;
+}
+
+std::string Table(const std::vector<Row>& rows, size_t left_columns) {
+  std::vector<size_t> widths;
+  for (const Row& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()), 0);
+    for (size_t i = 0; i < row.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
+  }
+  std::string out;
+  for (const Row& row : rows) {
+    std::string line;
+    for (size_t i = 0; i < row.size(); ++i) {
+      std::string pad(widths[i] - row[i].size(), ' ');
+      line += i < left_columns ? row[i] + pad : pad + row[i];
+      line += "  ";
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    out += line + "\n";
+  }
+  return out;
+}
+
+std::string Spelled(Range range) {
+  auto one = [](double value) {
+    std::string text = Fixed(value, 3);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.') text.pop_back();
+    return text;
+  };
+  if (range.lo == range.hi) return one(range.lo);
+  std::string text("[");
+  return text.append(one(range.lo)).append(", ").append(one(range.hi)).append("]");
+}
+
+double Beyond(const json& r) {
+  return r["marks"]["admitted_beyond_rate"].get<double>() + r["marks"]["admitted_beyond_cap"].get<double>();
+}
+
+}  // namespace
+
+std::string DayTable(const std::vector<json>& reports) {
+  std::vector<Row> rows = {{"scenario", "seed", "G", "served", "plan", "over", "refused", "needless",
+                            "beyond", "p50 ms", "p99 ms", "calls", "recover s", "rules", "held"}};
+  std::map<std::string, std::vector<double>> g;
+  for (const json& r : reports) {
+    double recover = 0;
+    if (r.contains("troubles")) {
+      for (const json& t : r["troubles"]) {
+        double took = t["recover_s"].get<double>();
+        recover = took < 0 || recover < 0 ? -1 : std::max(recover, took);
+      }
+    }
+    rows.push_back({r["scenario"], r["seed"].dump(), Fixed(r["g"]), Fixed(r["served"]),
+                    Fixed(r["worst_plan"]), Fixed(r["prices"]["over_quota"]), Fixed(r["refused_share"]),
+                    r["marks"]["refused_needlessly"].dump(), Fixed(Beyond(r), 0),
+                    Fixed(r["latency_ms"]["p50"], 1), Fixed(r["latency_ms"]["p99"], 1),
+                    r["counts"]["calls"].dump(),
+                    !r.contains("troubles") ? "-"
+                    : recover < 0           ? "never"
+                                            : Fixed(recover, 0),
+                    r["rules"], r.value("held", true) ? "yes" : "NO"});
+    g[r["scenario"].get<std::string>()].push_back(r["g"].get<double>());
+  }
+  std::string out = Table(rows, 1);
+  for (const auto& [scenario, values] : g) {
+    if (values.size() < 2) continue;
+    auto [low, high] = std::minmax_element(values.begin(), values.end());
+    out += scenario + ": G " + Fixed(Mean(values)) + " in the mean, median " + Fixed(Median(values)) +
+           ", from " + Fixed(*low) + " to " + Fixed(*high) + " over " + std::to_string(values.size()) +
+           " seeds\n";
+  }
+  for (const json& r : reports) {
+    std::string day = r["scenario"].get<std::string>() + ", seed " + r["seed"].dump();
+    if (r.contains("breaches")) {
+      size_t shown = 0;
+      for (const json& b : r["breaches"]) {
+        if (++shown > 5) break;
+        out += day + ": broken at " + Fixed(b["at_s"]) + " s: " + b["rule"].get<std::string>() + ": " +
+               b["what"].get<std::string>() + "\n";
+      }
+    }
+    if (r.contains("expectations")) {
+      for (const json& e : r["expectations"]) {
+        if (!e["held"].get<bool>())
+          out += day + ": not as expected: " + e["name"].get<std::string>() + " wants " + Fixed(e["wanted"]) +
+                 ", found " + Fixed(e["found"]) + "\n";
+      }
+    }
+    if (r.contains("not_played"))
+      out += day + ": only real processes can play: " + r["not_played"].dump() + "\n";
+    if (r.contains("lab"))
+      out += day + ": the lab itself was late by " + Fixed(r["lab"]["late_p99_ms"], 2) + " ms (p99), " +
+             Fixed(r["lab"]["late_worst_ms"], 2) + " ms at the worst, and used " +
+             Fixed(r["lab"]["cpu_s"], 2) + " s of a processor\n";
+  }
+  return out;
+}
+
+std::string CompareTable(const json& result) {
+  std::vector<Row> rows = {{"scenario", "figure", "A", "B", "B - A", "95% from", "to", "a difference?"}};
+  for (const json& scenario : result["scenarios"]) {
+    for (const auto& [name, f] : scenario["figures"].items()) {
+      auto bound = [&](const char* key) {
+        return f[key].is_null() ? std::string("-") : Fixed(f[key].get<double>(), 4);
+      };
+      rows.push_back({scenario["scenario"], name, Fixed(f["a"], 4), Fixed(f["b"], 4),
+                      Fixed(f["difference"], 4), bound("low"), bound("high"),
+                      f["tells"].get<bool>() ? "yes" : "not to be told from noise"});
+    }
+  }
+  return Table(rows, 2);
+}
+
+std::string KeyTable() {
+  std::vector<Row> rows = {{"key", "default", "from", "to", "meaning"}};
+  auto add = [&](const auto& figures, const auto& owner, const std::string& prefix) {
+    for (const auto& figure : figures)
+      rows.push_back({prefix + figure.key, Spelled(owner.*figure.at), Spelled({figure.least, figure.least}),
+                      Spelled({figure.most, figure.most}), figure.about});
+  };
+  add(ScenarioFigures(), Scenario(), "");
+  add(ClassKeys(), ClassFigures(), "[[class]] ");
+  add(PlanKeys(), PlanFigures(), "[[plan]] ");
+  add(EventKeys(), EventFigures(), "[[event]] ");
+  std::string out =
+      Table(rows, 5) +
+      "\n[expect] rules = \"kept\" or \"any\", g_at_least, served_at_least, recover_s_at_most\n\n";
+  rows = {{"[[event]] kind", "meaning"}};
+  for (const EventKind& kind : EventKinds()) rows.push_back({kind.name, kind.about});
+  return out + Table(rows, 2);
+}
+
+std::string LiveTable(const json& now) {
+  auto last = [&](const char* name) {
+    const json& series = now["series"][name];
+    return series.size() < 2 ? 0.0 : series[series.size() - 2].get<double>();  // the last whole second
+  };
+  // What was asked for a second earlier has had its time to be served.
+  auto earlier = [&](const char* name) {
+    const json& series = now["series"][name];
+    return series.size() < 3 ? 0.0 : series[series.size() - 3].get<double>();
+  };
+  double offered = earlier("offered"), served = earlier("served");
+  std::vector<Row> rows = {
+      {"second", "requests/s", "tries/s", "attempts/s", "calls/s", "served of asked", "needless/s",
+       "beyond units/s", "p50 ms", "p99 ms", "rules"},
+      {Fixed(now["until_s"], 0), Fixed(last("asked"), 0), Fixed(last("tries"), 0), Fixed(last("attempts"), 0),
+       Fixed(last("calls"), 0), offered > 0 ? Fixed(100 * served / offered, 1) + "%" : "-",
+       Fixed(last("refused_needlessly"), 0), Fixed(last("beyond_units"), 1),
+       Fixed(now["latency_ms"]["p50"], 1), Fixed(now["latency_ms"]["p99"], 1), now["rules"]}};
+  return Table(rows, 0);
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/experiment/runner.cpp
@@ -0,0 +1,99 @@
+// Days share nothing, so threads take them from one list; results keep the list's order.
+#include "experiment/runner.h"
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "play/virtual_day.h"
+
+namespace lemonchute::lab {
+
+void Hold(const Expectations& expect, nlohmann::json* report) {
+  nlohmann::json all = nlohmann::json::array();
+  bool held = true;
+  auto add = [&](const std::string& name, double wanted, double found, bool holds) {
+    all.push_back({{"name", name}, {"wanted", wanted}, {"found", found}, {"held", holds}});
+    held &= holds;
+  };
+  if (expect.rules_kept) add("rules kept", 0, (*report)["broken"].get<double>(), (*report)["broken"] == 0);
+  if (expect.g_at_least)
+    add("g_at_least", *expect.g_at_least, (*report)["g"].get<double>(),
+        (*report)["g"].get<double>() >= *expect.g_at_least);
+  if (expect.served_at_least)
+    add("served_at_least", *expect.served_at_least, (*report)["served"].get<double>(),
+        (*report)["served"].get<double>() >= *expect.served_at_least);
+  if (expect.recover_s_at_most && report->contains("troubles")) {
+    double worst = 0;
+    for (const nlohmann::json& trouble : (*report)["troubles"]) {
+      double took = trouble["recover_s"].get<double>();
+      worst = took < 0 ? 1e9 : std::max(worst, took);  // never, within the day
+    }
+    add("recover_s_at_most", *expect.recover_s_at_most, worst, worst <= *expect.recover_s_at_most);
+  }
+  (*report)["expectations"] = all;
+  (*report)["held"] = held;
+}
+
+std::vector<nlohmann::json> Play(const Batch& batch) {
+  struct Task {
+    const Scenario* scenario;
+    uint64_t seed;
+  };
+  std::vector<Task> tasks;
+  for (const Scenario& scenario : batch.scenarios) {
+    for (uint64_t seed = batch.first_seed; seed <= batch.last_seed; ++seed)
+      tasks.push_back({&scenario, seed});
+  }
+  std::vector<nlohmann::json> reports(tasks.size());
+  if (batch.way != Way::kVirtual) {
+    for (size_t i = 0; i < tasks.size(); ++i) {
+      RealOptions options = batch.real;
+      options.null_run = batch.way == Way::kNull;
+      if (!options.folder.empty() && tasks.size() > 1)
+        options.folder += "/" + tasks[i].scenario->name + "-" + std::to_string(tasks[i].seed);
+      Day day = DrawDay(*tasks[i].scenario, tasks[i].seed);
+      reports[i] = PlayReal(day, options);
+      Hold(tasks[i].scenario->expect, &reports[i]);
+      if (batch.progress) batch.progress(static_cast<double>(i + 1) / static_cast<double>(tasks.size()));
+      if (reports[i].value("stopped", false)) {
+        reports.resize(i + 1);
+        break;
+      }
+    }
+    return reports;
+  }
+  std::vector<std::atomic<int>> done(tasks.size());
+  std::atomic<size_t> next{0}, finished{0};
+  std::mutex mutex;
+  std::exception_ptr failure;
+  auto work = [&] {
+    for (size_t i = next++; i < tasks.size(); i = next++) {
+      try {
+        Day day = DrawDay(*tasks[i].scenario, tasks[i].seed);
+        reports[i] = PlayVirtual(day, &done[i]);
+        Hold(tasks[i].scenario->expect, &reports[i]);
+      } catch (...) {
+        std::lock_guard lock(mutex);
+        failure = std::current_exception();
+      }
+      done[i] = 1000;
+      ++finished;
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < std::max(1, batch.jobs); ++i) threads.emplace_back(work);
+  while (finished < tasks.size()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    double sum = 0;
+    for (auto& d : done) sum += d;
+    if (batch.progress) batch.progress(sum / (1000.0 * static_cast<double>(tasks.size())));
+  }
+  for (std::thread& thread : threads) thread.join();
+  if (failure) std::rethrow_exception(failure);
+  return reports;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,294 @@
+// lemonchute-lab: the command line. Exit codes: 0 all went as expected, 1 it did not, 2 something is wrong
+// with what was asked for, 3 it can't be played here.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <charconv>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include "cli/tables.h"
+#include "experiment/compare.h"
+#include "experiment/runner.h"
+#include "report/html.h"
+
+namespace {
+
+using namespace lemonchute::lab;
+using nlohmann::json;
+
+constexpr int kAsExpected = 0, kNotAsExpected = 1, kUsage = 2, kCannot = 3;
+
+struct Asked {
+  std::vector<std::string> scenarios, settings, builds;
+  std::string seeds = "1", gateway, logs, report, output = "report.html", sweep;
+  bool real = false, null_run = false, as_json = false;
+  int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
+  int for_s = 900;
+};
+
+// A fault in what was asked for; the text is whole.
+class Unusable : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in || std::filesystem::is_directory(path)) throw Unusable("cannot read " + path);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+// All scenarios, with the settings asked for; every fault of all of them in one go.
+std::vector<Scenario> ReadScenarios(const Asked& asked) {
+  std::vector<Scenario> scenarios;
+  std::string faults;
+  auto add = [&](const std::string& where, const ScenarioFault& fault) {
+    faults += where + (fault.line > 0 ? ":" + std::to_string(fault.line) : "") + ": " +
+              (fault.key.empty() ? "" : fault.key + " ") + fault.why + "\n";
+  };
+  for (const std::string& path : asked.scenarios) {
+    ReadScenario read = ParseScenario(ReadFile(path));
+    for (const ScenarioFault& fault : read.faults) add(path, fault);
+    for (const std::string& setting : asked.settings) {
+      if (auto fault = SetFigure(&read.scenario, setting)) add("--set", *fault);
+    }
+    std::vector<ScenarioFault> after;
+    if (read.faults.empty()) CheckWhole(read.scenario, &after);
+    for (const ScenarioFault& fault : after) add(path, fault);
+    scenarios.push_back(std::move(read.scenario));
+  }
+  if (!faults.empty()) throw Unusable(faults);
+  return scenarios;
+}
+
+std::pair<uint64_t, uint64_t> ReadSeeds(const std::string& text) {
+  size_t dots = text.find("..");
+  auto number = [&](const std::string& part) {
+    uint64_t value = 0;
+    auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), value);
+    if (error != std::errc() || end != part.data() + part.size() || part.empty())
+      throw Unusable("--seeds " + text + ": write one seed or FROM..TO");
+    return value;
+  };
+  uint64_t from = number(text.substr(0, dots)),
+           to = dots == std::string::npos ? from : number(text.substr(dots + 2));
+  if (to < from || to - from >= 10000)
+    throw Unusable("--seeds " + text + ": the second has to be from the first on, at most 10000 in all");
+  return {from, to};
+}
+
+std::function<void(double)> ProgressLine() {
+  if (isatty(2) == 0) return {};
+  return [](double share) { std::fprintf(stderr, "\r%3.0f%%%s", 100 * share, share >= 1 ? "\r    \r" : ""); };
+}
+
+// Beside the lab, as a build leaves it.
+std::string BesideLab(const char* name) {
+  std::error_code failed;
+  auto self = std::filesystem::read_symlink("/proc/self/exe", failed);
+  return (self.parent_path() / name).string();
+}
+
+Batch MakeBatch(const Asked& asked) {
+  Batch batch;
+  batch.scenarios = ReadScenarios(asked);
+  std::tie(batch.first_seed, batch.last_seed) = ReadSeeds(asked.seeds);
+  batch.way = asked.null_run ? Way::kNull : asked.real ? Way::kReal : Way::kVirtual;
+  batch.jobs = std::clamp(asked.jobs, 1, 256);
+  batch.real.program = asked.gateway.empty() ? BesideLab("ivygw") : asked.gateway;
+  batch.real.folder = asked.logs;
+  batch.progress = ProgressLine();
+  return batch;
+}
+
+void WriteFile(const std::string& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw Unusable("cannot write " + path);
+}
+
+int Run(const Asked& asked) {
+  std::vector<json> reports = Play(MakeBatch(asked));
+  if (!asked.report.empty()) WriteFile(asked.report, HtmlReport(reports));
+  if (asked.as_json) {
+    for (const json& report : reports) std::printf("%s\n", report.dump().c_str());
+  } else {
+    std::fputs(DayTable(reports).c_str(), stdout);
+    if (!asked.report.empty()) std::printf("report: %s\n", asked.report.c_str());
+  }
+  bool held = std::all_of(reports.begin(), reports.end(),
+                          [](const json& r) { return r.value("held", true) && !r.value("stopped", false); });
+  return held ? kAsExpected : kNotAsExpected;
+}
+
+int DoCompare(const Asked& asked) {
+  ReadScenarios(asked);
+  Builds builds;
+  builds.a = asked.builds[0], builds.b = asked.builds[1];
+  builds.scenarios = asked.scenarios, builds.settings = asked.settings;
+  std::tie(builds.first_seed, builds.last_seed) = ReadSeeds(asked.seeds);
+  builds.real = asked.real;
+  builds.lab = BesideLab("lemonchute-lab");
+  builds.progress = ProgressLine();
+  json result = Compare(builds);
+  std::fputs(asked.as_json ? (result.dump() + "\n").c_str() : CompareTable(result).c_str(), stdout);
+  return kAsExpected;
+}
+
+int Sweep(Asked asked) {
+  size_t equals = asked.sweep.find('=');
+  std::vector<std::string> values;
+  std::stringstream list(equals == std::string::npos ? "" : asked.sweep.substr(equals + 1));
+  for (std::string value; std::getline(list, value, ',');) values.push_back(value);
+  if (values.empty()) throw Unusable("sweep " + asked.sweep + ": write KEY=VALUE,VALUE,...");
+  std::vector<std::string> settings = asked.settings;
+  bool held = true;
+  for (const std::string& value : values) {
+    asked.settings = settings;
+    asked.settings.push_back(asked.sweep.substr(0, equals + 1) + value);
+    if (!asked.as_json) std::printf("%s\n", asked.settings.back().c_str());
+    held &= Run(asked) == kAsExpected;
+  }
+  return held ? kAsExpected : kNotAsExpected;
+}
+
+int Report(const Asked& asked) {
+  std::vector<json> reports;
+  std::istringstream lines(ReadFile(asked.scenarios[0]));
+  int number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    if (line.empty()) continue;
+    json report = json::parse(line, nullptr, false);
+    // As much as the page needs of a report; the rest of it is optional there.
+    bool whole = report.is_object() && report.contains("scenario") && report.contains("marks") &&
+                 report.contains("prices") && report.contains("latency_ms") && report.contains("series");
+    if (!whole)
+      throw Unusable(asked.scenarios[0] + ":" + std::to_string(number) + ": is not a line of `run --json`");
+    reports.push_back(std::move(report));
+  }
+  if (reports.empty()) throw Unusable(asked.scenarios[0] + " holds no report");
+  WriteFile(asked.output, HtmlReport(reports));
+  std::printf("report: %s\n", asked.output.c_str());
+  return kAsExpected;
+}
+
+// A small site with steady load, until Ctrl-C or until its time is over.
+int Up(Asked asked) {
+  if (asked.for_s < 5 || asked.for_s > 3600) throw Unusable("--for: from 5 to 3600 seconds");
+  asked.settings.push_back("day.length_s=" + std::to_string(asked.for_s));
+  asked.settings.push_back("day.settle_s=1");
+  Batch batch = MakeBatch(asked);
+  for (Scenario& scenario : batch.scenarios) scenario.expect = {};  // it ends when it is told to
+  batch.way = Way::kReal;
+  batch.progress = {};
+  batch.real.visitors = true;
+  bool first = true, live = isatty(1) != 0;
+  batch.real.watch = [&](const json& now) {
+    if (first) {
+      const std::string door = now["doors"][0], gateway = now["listens"][0], backend = now["names"][0];
+      std::printf(
+          "The site is up: %zu gateways, %zu backends, for %d s at most. Ctrl-C ends it. To try from another "
+          "terminal:\n\n",
+          now["doors"].size(), now["names"].size(), asked.for_s);
+      std::printf(
+          "  curl -i -H 'Request-Id: 00000000000000aa' -H 'X-Tier: %s' -H 'Cookie: client=00000000000000aa' "
+          "\\\n       -H 'Request-Timeout-Ms: 1000' -H 'X-Call-Terms: units=1,spread=2,first=0' "
+          "http://%s/%s\n",
+          now["plan"].get<std::string>().c_str(), gateway.c_str(), now["class"].get<std::string>().c_str());
+      std::printf("  curl http://%s/control/counters\n  curl http://%s/control/config\n", door.c_str(),
+                  door.c_str());
+      std::printf("  curl -X PUT http://%s/control/backends/%s/offline     # and online\n\n", door.c_str(),
+                  backend.c_str());
+    }
+    std::string table = LiveTable(now);
+    if (live && !first) std::fputs("\x1b[2A\x1b[J", stdout);  // over the last two lines
+    std::fputs(live || first ? table.c_str() : (table.substr(table.find('\n') + 1)).c_str(), stdout);
+    std::fflush(stdout);
+    first = false;
+  };
+  std::vector<json> reports = Play(batch);
+  std::printf("\n%s", DayTable(reports).c_str());
+  return reports[0]["broken"] == 0 ? kAsExpected : kNotAsExpected;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "lemonchute-lab: an emulator of the site, round the gateway's decision module or the gateway itself"};
+  app.require_subcommand(1);
+  Asked asked;
+  auto scenarios = [&](CLI::App* to) {
+    to->add_option("scenario", asked.scenarios, "scenario files (TOML)")->required();
+  };
+  auto days = [&](CLI::App* to) {
+    to->add_option("--seeds", asked.seeds, "one seed, or FROM..TO")->capture_default_str();
+    to->add_option("--set", asked.settings, "KEY=VALUE or KEY=[FROM,TO] in place of the scenario's")
+        ->take_all();
+    to->add_flag("--json", asked.as_json, "results alone, as JSON lines");
+  };
+  auto ways = [&](CLI::App* to) {
+    to->add_flag("--real", asked.real, "on real sockets, round gateway processes; else in virtual time");
+    to->add_flag("--null", asked.null_run, "on real sockets without a gateway: what the lab itself costs");
+    to->add_option("--gateway", asked.gateway, "the gateway program; else the one beside this program");
+    to->add_option("--logs", asked.logs, "keep logs and configurations in this folder");
+    to->add_option("--jobs", asked.jobs, "threads in virtual time")->capture_default_str();
+    to->add_option("--report", asked.report, "write a page with plots there too");
+  };
+  CLI::App* run = app.add_subcommand("run", "play scenarios");
+  scenarios(run), days(run), ways(run);
+  CLI::App* compare = app.add_subcommand(
+      "compare", "two builds on the same days, in turn; differences with their 95% interval");
+  compare->add_option("--builds", asked.builds, "two folders with builds, A and B")->required()->expected(2);
+  compare->add_flag("--real", asked.real,
+                    "the gateways of both, on real sockets; else their modules in virtual time");
+  scenarios(compare), days(compare);
+  CLI::App* sweep = app.add_subcommand("sweep", "one key at several values");
+  sweep->add_option("--key", asked.sweep, "KEY=VALUE,VALUE,...")->required();
+  scenarios(sweep), days(sweep), ways(sweep);
+  CLI::App* report = app.add_subcommand("report", "a page with plots from the lines of run --json");
+  report->add_option("results", asked.scenarios, "a file of such lines")->required()->expected(1);
+  report->add_option("-o,--output", asked.output, "the page")->capture_default_str();
+  CLI::App* up = app.add_subcommand("up", "a small site with steady load, and what to try on it");
+  scenarios(up);
+  up->add_option("--for", asked.for_s, "seconds until it ends by itself")->capture_default_str();
+  up->add_option("--seeds", asked.seeds, "the day's seed")->capture_default_str();
+  up->add_option("--set", asked.settings, "KEY=VALUE")->take_all();
+  up->add_option("--gateway", asked.gateway, "the gateway program");
+  up->add_option("--logs", asked.logs, "keep logs there");
+  CLI::App* check = app.add_subcommand("check", "only say what is wrong with scenarios");
+  scenarios(check);
+  CLI::App* keys = app.add_subcommand("keys", "every key of a scenario, with unit, default and range");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kAsExpected : kUsage;
+  }
+  try {
+    if (run->parsed()) return Run(asked);
+    if (compare->parsed()) return DoCompare(asked);
+    if (sweep->parsed()) return Sweep(asked);
+    if (report->parsed()) return Report(asked);
+    if (up->parsed()) return Up(asked);
+    if (check->parsed()) return ReadScenarios(asked), kAsExpected;
+    if (keys->parsed()) std::fputs(KeyTable().c_str(), stdout);
+    return kAsExpected;
+  } catch (const Unusable& error) {
+    std::fprintf(stderr, "%s%s", error.what(), std::string(error.what()).back() == '\n' ? "" : "\n");
+    return kUsage;
+  } catch (const CannotPlay& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return kCannot;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "this should not happen: %s\n", error.what());
+    return kCannot;
+  }
+}
