--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -63,7 +63,7 @@
   d->try_limit = Whole(r, s.try_limit);
   d->counter_price = Pick(r, s.counter_price), d->waste_price = Pick(r, s.waste_price);
   d->late_price = Pick(r, s.late_price), d->cross_zone_price = Pick(r, s.cross_zone_price);
-  d->hidden_price = Pick(r, s.hidden_price);
+  d->handshake_price = Pick(r, s.handshake_price), d->hidden_price = Pick(r, s.hidden_price);
   d->goal_whole = Pick(r, s.goal_whole), d->goal_window = Pick(r, s.goal_window),
   d->goal_plan = Pick(r, s.goal_plan);
 }
@@ -300,6 +300,8 @@
       Both(at, to, Happening::kScrape, Happening::kScrape, {}, size);
     } else if (e.kind == "retune") {
       Put(at, Happening::kRetune, {}, size);
+    } else if (e.kind == "site-trouble") {
+      return AddSiteTrouble(at);
     } else if (e.kind == "upgrade") {
       Put(at, Happening::kUpgrade, Some(r_, all, part));
     }
@@ -307,6 +309,23 @@
   }
 
  private:
+  // The incidents that the operators have recorded (TERMS 7), each as likely as another.
+  void AddSiteTrouble(Micros at) {
+    struct Own {
+      const char* kind;
+      Range for_s, part, size, down_s;
+    };
+    static constexpr Own kOwn[] = {{"restart", {10, 26}, {0.54, 0.95}, {0.061, 0.24}, {0.32, 1.4}},
+                                   {"burst", {2.5, 10}, {1, 1}, {1.5, 2.4}, {0, 0}},
+                                   {"fail", {7.5, 29}, {0.073, 0.19}, {0.34, 1}, {0, 0}},
+                                   {"hot", {13, 29}, {1, 1}, {0.078, 0.21}, {0, 0}},
+                                   {"shift", {0, 0}, {0.16, 0.59}, {1, 1}, {0, 0}}};
+    const Own& own = kOwn[r_->Below(static_cast<int>(std::size(kOwn)))];
+    EventFigures event;
+    event.kind = own.kind, event.at_s = {ToS(at), ToS(at)};
+    event.for_s = own.for_s, event.part = own.part, event.size = own.size, event.down_s = own.down_s;
+    Add(event);
+  }
   void Put(Micros at, Happening what, std::vector<int> targets, double size = 0) {
     d_->incidents.push_back({at, what, std::move(targets), size});
   }
--- a/lab/model/day.h
+++ b/lab/model/day.h
@@ -127,7 +127,8 @@
   // Rules, prices and the goal.
   double drain_grace_s = 0, answer_grace_s = 0;
   int try_limit = 0;
-  double counter_price = 0, waste_price = 0, late_price = 0, cross_zone_price = 0, hidden_price = 0;
+  double counter_price = 0, waste_price = 0, late_price = 0, cross_zone_price = 0, handshake_price = 0,
+         hidden_price = 0;
   double goal_whole = 0, goal_window = 0, goal_plan = 0;
 
   double Capacity() const;  // work that the backends of the start do in a second
--- a/lab/model/judge.h
+++ b/lab/model/judge.h
@@ -72,6 +72,8 @@
   // The gateway ended this request's connection without a whole answer, or never answered.
   void Lost(Micros now, uint32_t id, const std::string& how);
   void GatewayEnded(Micros now, int gateway);
+  // A process of it starts: what was told to the one before counts as told from here on.
+  void GatewayStarted(Micros now, int gateway) { started_[static_cast<size_t>(gateway)] = now; }
   void Crashed(Micros now, int gateway, const std::string& how);
   void Tipped(Micros now, int backend, double told_share);
   void CounterCalled(Micros now, int gateway, double amount);
@@ -121,6 +123,7 @@
   std::vector<char> done_;                     // by arrival: 1 served in time, 2 served late
   std::vector<std::vector<int>> versions_of_;  // by backend: discovery's versions that speak of it
   mutable size_t versions_seen_ = 0;
+  std::vector<Micros> started_;  // by gateway: its latest process
   std::map<int, Micros> offline_since_;
   std::vector<std::set<uint32_t>> open_at_;  // by gateway: tries taken and not ended
   std::vector<Breach> breaches_;
--- a/lab/model/scenario.cpp
+++ b/lab/model/scenario.cpp
@@ -264,6 +264,8 @@
       {"prices.late", &S::late_price, 0, 1, false, "times worth that failed only after its aim"},
       {"prices.cross_zone", &S::cross_zone_price, 0, 1, false,
        "times attempts between zones over first tries"},
+      {"prices.handshake", &S::handshake_price, 0, 1, false,
+       "times new connections to backends over first tries"},
       {"prices.hidden", &S::hidden_price, 0, 1, false,
        "of its worth, for a request held over half of its time and never sent on"},
       {"goal.whole", &S::goal_whole, 0, 1, false, "weight of the whole day"},
@@ -341,6 +343,7 @@
       {"drain", "an operator drains part of the gateways for for_s"},
       {"scrape", "operators read every gateway's figures size times a second for for_s"},
       {"retune", "a new configuration at SIGHUP: every quota times size"},
+      {"site-trouble", "one of the site's own, drawn with TERMS' figures: burst, fail, hot, restart or shift"},
       {"upgrade", "part of the gateways are replaced by a new process on the same listening socket"},
   };
   return kinds;
--- a/lab/model/settings.cpp
+++ b/lab/model/settings.cpp
@@ -6,7 +6,7 @@
 using nlohmann::json;
 
 std::string ZoneName(int zone) { return "zone-" + std::string(1, static_cast<char>('a' + zone)); }
-std::string GatewayName(int gateway) { return "n" + std::to_string(gateway); }
+std::string GatewayName(int gateway) { return std::string("n").append(std::to_string(gateway)); }
 
 json SettingsOf(const Day& day, int gateway, double scale) {
   json zones = json::array(), classes = json::array(), plans = json::array();
@@ -50,7 +50,10 @@
             {"peer-in-per-s", 60.0},
             {"meter-period-s", 0.0}}},
           {"prices",
-           {{"cross-zone", day.cross_zone_price}, {"waste", day.waste_price}, {"late-fail", day.late_price}}},
+           {{"cross-zone", day.cross_zone_price},
+            {"waste", day.waste_price},
+            {"late-fail", day.late_price},
+            {"handshake", day.handshake_price}}},
           {"limits",
            {{"cancel", true},
             {"parallel-tries", true},
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -82,6 +82,7 @@
 void Fleet::Launch(int gateway, bool beside) {
   Member& m = members_[static_cast<size_t>(gateway)];
   std::string name = GatewayName(gateway);
+  world_.judge.GatewayStarted(world_.Now(), gateway);
   if (!beside) {  // empty at each start, but for a new version beside the old
     m.temporary = folder_ + "/" + name + "-tmp-" + std::to_string(m.launches);
     std::filesystem::create_directory(m.temporary);
--- a/lab/play/virtual_day.cpp
+++ b/lab/play/virtual_day.cpp
@@ -381,6 +381,7 @@
   for (Action& action : actions) Act(gateway, action);
   GiveList(gateway, micadock::ListKind::kCached, discovery_.ListAt(version));
   if (now_ == 0) return;
+  judge_.GatewayStarted(now_, static_cast<int>(gateway));
   Put(now_ + FromS(day_.agent_s), Kind::kList, gateway, g.life);
 }
 
--- a/lab/tests/judge_test.cpp
+++ b/lab/tests/judge_test.cpp
@@ -80,6 +80,11 @@
       // Told of the drain at 1 s after it began; 1 s of grace and 50 ms on sockets.
       {"sent on at the drain's edge", "", [&](Trace& t) { t.discovery.Tell(0, {0, Listed::kLeaving, 0}, nullptr); t.Attempt(t.Take(0), 2'050'000); }},
       {"sent on past the drain's edge", "drain;", [&](Trace& t) { t.discovery.Tell(0, {0, Listed::kLeaving, 0}, nullptr); t.Attempt(t.Take(0), 2'050'001); }},
+      {"sent on by a process that has just started", "", [&](Trace& t) {
+         t.discovery.Tell(0, {0, Listed::kLeaving, 0}, nullptr);
+         t.judge.GatewayStarted(3 * kSecond, 0);
+         t.Attempt(t.Take(0, 4 * kSecond), 4 * kSecond);
+       }},
       {"drained, and back again", "", [&](Trace& t) {
          t.discovery.Tell(0, {0, Listed::kLeaving, 0}, nullptr);
          t.discovery.Tell(kSecond, {0, Listed::kActive, kSecond}, nullptr);
