--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -169,7 +169,8 @@
     json report = json::parse(line, nullptr, false);
     // As much as the page needs of a report; the rest of it is optional there.
     bool whole = report.is_object() && report.contains("scenario") && report.contains("marks") &&
-                 report.contains("prices") && report.contains("latency_ms") && report.contains("series");
+                 report.contains("prices") && report.contains("losses") && report.contains("latency_ms") &&
+                 report.contains("series");
     if (!whole)
       throw Unusable(asked.scenarios[0] + ":" + std::to_string(number) + ": is not a line of `run --json`");
     reports.push_back(std::move(report));
--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -312,8 +312,8 @@
   }
 
  private:
-  // The incidents that the operators have recorded (TERMS 7). Three in five are bursts: of 25 days of the fleet's
-  // kinds at 100 gateways 15 showed one; the others are as likely as one another.
+  // The incidents that the operators have recorded (TERMS 7). Three in five are bursts: of 25 days of the
+  // fleet's kinds at 100 gateways 15 showed one; the others are as likely as one another.
   void AddSiteTrouble(Micros at) {
     struct Own {
       const char* kind;
--- a/lab/model/judge.h
+++ b/lab/model/judge.h
@@ -15,6 +15,7 @@
 
 #include "model/choice.h"
 #include "model/discovery.h"
+#include "model/losses.h"
 #include "model/truth.h"
 
 namespace lemonchute::lab {
@@ -113,13 +114,14 @@
   Second& SecondOf(Micros now);
   void MarkAs(Mark mark, Micros now, uint32_t id);
   void Note(char what, Micros now, uint64_t a, uint64_t b = 0);
-  double RecoverS(const Trouble& trouble) const;
+  std::optional<double> RecoverS(const Trouble& trouble) const;
 
   const Day* day_;
   const Discovery* discovery_;
   Truth truth_;
   std::vector<bool> inside_;  // by first tries
   std::vector<Try> tries_;
+  Losses losses_;
   std::vector<char> done_;                     // by arrival: 1 served in time, 2 served late
   std::vector<std::vector<int>> versions_of_;  // by backend: discovery's versions that speak of it
   mutable size_t versions_seen_ = 0;
--- /dev/null
+++ b/lab/model/losses.h
@@ -0,0 +1,51 @@
+// Owns where worth went: for each request that was asked for inside its quota, what became of its latest try.
+#ifndef LEMONCHUTE_LAB_MODEL_LOSSES_H_
+#define LEMONCHUTE_LAB_MODEL_LOSSES_H_
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+enum class Loss : uint8_t {
+  kUnanswered,  // nothing came of it by the day's end
+  kServed,      // no loss
+  kNeedless,    // refused, though its true store held the units and a known backend had a free slot
+  kForQuota,    // refused rightly: retries and others of its customer had used the units
+  kForCap,      // likewise, the cap on attempts out
+  kForRoom,     // refused with no free slot anywhere
+  kBeyond,      // served, but sent on beyond the quota: worth nothing
+  kLate,        // served after its aim
+  kFailed,      // an error, or refused after attempts
+  kUnheard,     // its gateway was not there
+  kLeft,        // no answer in its time, or its client left early
+  kCount
+};
+const char* Name(Loss loss);
+
+class Losses {
+ public:
+  explicit Losses(const Day& day) : last_(day.arrivals.size(), Loss::kUnanswered) {}
+  void Set(uint32_t arrival, Loss loss) { last_[arrival] = loss; }
+  // By name, the share of `offered`; `worth` is an arrival's, nought where it does not count.
+  template <typename Worth>
+  nlohmann::json Report(double offered, Worth worth) const {
+    std::vector<double> sums(static_cast<size_t>(Loss::kCount), 0);
+    for (uint32_t i = 0; i < last_.size(); ++i) sums[static_cast<size_t>(last_[i])] += worth(i);
+    nlohmann::json report;
+    for (size_t l = 0; l < sums.size(); ++l) {
+      bool counts = static_cast<Loss>(l) != Loss::kServed && offered > 0;
+      if (counts) report[Name(static_cast<Loss>(l))] = std::round(1e6 * sums[l] / offered) / 1e6;
+    }
+    return report;
+  }
+
+ private:
+  std::vector<Loss> last_;
+};
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_MODEL_LOSSES_H_
