--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -353,6 +353,38 @@
 
 }  // namespace
 
+const char* Name(Happening what) {
+  switch (what) {
+    case Happening::kKill: return "gateway killed";
+    case Happening::kTerminate: return "gateway told to end";
+    case Happening::kRevive: return "gateway started";
+    case Happening::kStop: return "gateway stopped";
+    case Happening::kContinue: return "gateway goes on";
+    case Happening::kDrainBackend: return "backend drains";
+    case Happening::kLeave: return "backend leaves";
+    case Happening::kEnd: return "backend ends";
+    case Happening::kStart: return "backend starts cold";
+    case Happening::kFail: return "backend fails requests";
+    case Happening::kSlow: return "backend slow";
+    case Happening::kSilent: return "backend silent";
+    case Happening::kCut: return "zone cut off";
+    case Happening::kResets: return "attempts reset";
+    case Happening::kCounterDown: return "counter down";
+    case Happening::kCounterLoses: return "counter loses answers";
+    case Happening::kDiscoverySilent: return "discovery silent";
+    case Happening::kDiscoveryRefuses: return "discovery refuses";
+    case Happening::kRude: return "rude peers";
+    case Happening::kOffline: return "backend out by hand";
+    case Happening::kOnline: return "backend called back";
+    case Happening::kOutOfService: return "gateway drained";
+    case Happening::kInService: return "gateway in service";
+    case Happening::kRetune: return "quotas changed";
+    case Happening::kUpgrade: return "gateway upgraded";
+    case Happening::kScrape: return "figures read";
+  }
+  return "";
+}
+
 double Day::Capacity() const {
   double sum = 0;
   for (const DayBackend& b : backends) sum += b.starts_at == 0 ? b.cores * b.speed : 0;
--- a/lab/model/day.h
+++ b/lab/model/day.h
@@ -82,6 +82,7 @@
   kUpgrade,
   kScrape,  // operators
 };
+const char* Name(Happening what);
 struct Incident {
   Micros at = 0;
   Happening what = Happening::kKill;
--- a/lab/play/real/real_day.cpp
+++ b/lab/play/real/real_day.cpp
@@ -2,6 +2,7 @@
 // and all processes are gone at the end.
 #include "play/real/real_day.h"
 
+#include <spdlog/sinks/basic_file_sink.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -73,6 +74,11 @@
 
   nlohmann::json Play() {
     double cpu_before = OwnCpu();
+    auto file = std::make_shared<spdlog::sinks::basic_file_sink_st>(folder_.path() + "/lab.log");
+    world_.log = std::make_shared<spdlog::logger>("lab", file);
+    world_.log->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+    world_.log->info("day={} seed={} gateways={} backends={} requests={}", day_.scenario, day_.seed,
+                     day_.gateways, day_.backends.size(), day_.arrivals.size());
     signals_.async_wait([this](boost::system::error_code error, int) {
       if (error) return;
       stopped_ = true;
@@ -83,6 +89,11 @@
     else
       fleet_.Start([this](std::vector<int> late) { Begin(std::move(late)); });
     world_.io.run();
+    for (const Breach& b : world_.judge.breaches()) {
+      world_.log->error("at_s={:.3f} rule=\"{}\" request={} what=\"{}\"", ToS(b.at), b.rule,
+                        RequestId(day_, static_cast<uint32_t>(b.request)), b.what);
+    }
+    world_.log->info("over at_s={:.3f} breaches={}", ToS(ended_), world_.judge.broken());
     nlohmann::json report = world_.judge.Report(std::min(day_.end, ended_));
     report["play"] = options_.null_run ? "null" : "real";
     report["stopped"] = stopped_;
@@ -109,6 +120,7 @@
   void Begin(std::vector<int> late) {
     if (finishing_) return;
     world_.schedule.Begin(Schedule::Clock::now());
+    world_.log->info("begins not_ready={}", late.size());
     agents_.Begin();
     for (int g : late) {
       world_.judge.Crashed(0, g, "did not become ready");
@@ -147,6 +159,10 @@
   void Happen(const Incident& incident) {
     if (options_.null_run || finishing_) return;
     bool on = incident.size > 0;
+    std::string targets;
+    for (int t : incident.targets) targets.append(targets.empty() ? "" : ",").append(std::to_string(t));
+    world_.log->info("at_s={:.3f} incident=\"{}\" targets={} size={}", ToS(incident.at), Name(incident.what),
+                     targets, incident.size);
     for (int t : incident.targets) {
       switch (incident.what) {
         case Happening::kKill: fleet_.Kill(t); break;
--- a/lab/play/real/world.h
+++ b/lab/play/real/world.h
@@ -2,6 +2,8 @@
 #ifndef LEMONCHUTE_LAB_PLAY_REAL_WORLD_H_
 #define LEMONCHUTE_LAB_PLAY_REAL_WORLD_H_
 
+#include <spdlog/logger.h>
+
 #include <boost/asio/io_context.hpp>
 
 #include "model/counter.h"
@@ -35,7 +37,8 @@
   Counter counter;
   Front front;
   Judge judge;
-  std::vector<Micros> beside;  // of each served try: the client's time less the backend's
+  std::shared_ptr<spdlog::logger> log;  // of the lab itself
+  std::vector<Micros> beside;           // of each served try: the client's time less the backend's
 };
 
 // A request's id on the wire, and back: the try's number under the seed, so that no two days share ids.
--- a/lab/play/virtual/virtual_day.cpp
+++ b/lab/play/virtual/virtual_day.cpp
@@ -116,9 +116,7 @@
 
 void VirtualDay::Happen(const Incident& incident) {
   if (OnlyReal(incident.what)) {
-    const char* name = incident.what == Happening::kUpgrade ? "upgrade"
-                       : incident.what == Happening::kRude  ? "rude"
-                                                            : "scrape";
+    const char* name = Name(incident.what);
     if (std::find(not_played_.begin(), not_played_.end(), name) == not_played_.end())
       not_played_.push_back(name);
     return;
--- a/lab/tests/real_test.cpp
+++ b/lab/tests/real_test.cpp
@@ -59,6 +59,9 @@
   EXPECT_NE(text.find("gateway 0 did not become ready"), std::string::npos) << text;
   EXPECT_EQ(Slurp(keep.path + "/n0.log"), "no thanks\n");
   EXPECT_EQ(ChildrenOf(keep.path), 0);
+  std::string log = Slurp(keep.path + "/lab.log");
+  EXPECT_NE(log.find("begins not_ready=3"), std::string::npos) << log;
+  EXPECT_NE(log.find("rule=\"crash\""), std::string::npos) << log;
 }
 
 TEST(Real, WhatCantBePlayedIsOnePlainSentence) {
