--- a/lab/model/backend.cpp
+++ b/lab/model/backend.cpp
@@ -104,7 +104,7 @@
 
 void Backend::Start(Micros now, bool cold) {
   Stop();
-  up_ = true, tipped_ = leaving_ = false;
+  up_ = true, leaving_ = false;
   at_ = started_ = now;
   warm_at_ = cold ? now + FromS(day_->cold_s) : now;
   pushed_.clear();
@@ -162,7 +162,6 @@
   double bears = day_->tip_multiple * b_.cores * b_.speed * Warmth(now) * day_->tip_s + day_->tip_slack_s;
   if (pushed_work_ <= bears) return std::nullopt;
   Stop();
-  tipped_ = true;
   return Tip{pushed_work_, bears, pushed_told_ / pushed_work_, ToS(now - started_)};
 }
 
--- a/lab/model/backend.h
+++ b/lab/model/backend.h
@@ -52,7 +52,6 @@
 
   bool up() const { return up_; }
   bool TakesNew() const { return up_ && !leaving_; }
-  bool tipped() const { return tipped_; }
   bool Cold(Micros now) const { return up_ && now < warm_at_; }
   int held() const { return static_cast<int>(running_.size() + waiting_.size()); }
   // Work a second at `now`, with the requests that it holds.
@@ -60,7 +59,6 @@
   // Seconds until `work_s` brought now would be done, if nothing else came.
   double Expected(Micros now, double work_s) const;
   bool SlotFree() const { return up_ && static_cast<int>(running_.size()) < b_.slots; }
-  const DayBackend& figures() const { return b_; }
 
  private:
   double Warmth(Micros now) const;
@@ -69,7 +67,7 @@
 
   const Day* day_;
   DayBackend b_;
-  bool up_ = false, tipped_ = false, leaving_ = false;
+  bool up_ = false, leaving_ = false;
   Micros at_ = 0, started_ = 0, warm_at_ = 0;
   double slow_ = 1;
   double progress_ = 0;                            // work done for each running job since the start of time
--- a/lab/model/counter.cpp
+++ b/lab/model/counter.cpp
@@ -18,13 +18,9 @@
       busy_until_(static_cast<size_t>(day.parts), 0) {}
 
 Counter::Answer Counter::Call(Micros now, std::string_view name, double amount, double keep_ms) {
-  ++calls_;
   if (down_) return {};
   Micros& busy = busy_until_[XXH3_64bits(name.data(), name.size()) % busy_until_.size()];
-  if (busy > now && ToS(busy - now) > longest_line_s_) {
-    ++turned_away_;
-    return {Said::kBusy, now + FromS(call_s_), 0};
-  }
+  if (busy > now && ToS(busy - now) > longest_line_s_) return {Said::kBusy, now + FromS(call_s_), 0};
   busy = std::max(busy, now) + FromS(per_call_s_);
   Micros served = busy + FromS(call_s_);
   Number& number = names_[std::string(name)];
--- a/lab/model/counter.h
+++ b/lab/model/counter.h
@@ -28,9 +28,6 @@
   // While down it says nothing; when it comes back it is empty.
   void Down(bool down);
   void Lose(double share) { lost_share_ = share; }
-  uint64_t calls() const { return calls_; }
-  uint64_t turned_away() const { return turned_away_; }
-  size_t names() const { return names_.size(); }
 
  private:
   struct Number {
@@ -45,7 +42,6 @@
   std::unordered_map<std::string, Number> names_;
   Micros swept_ = 0;
   bool down_ = false;
-  uint64_t calls_ = 0, turned_away_ = 0;
 };
 
 }  // namespace lemonchute::lab
--- a/lab/model/judge.cpp
+++ b/lab/model/judge.cpp
@@ -79,8 +79,6 @@
   digest_ = XXH3_64bits_withSeed(words, sizeof(words), digest_);
 }
 
-uint64_t Judge::Digest() const { return digest_; }
-
 void Judge::Broke(const std::string& rule, Micros now, uint32_t id, const std::string& what) {
   ++broken_;
   if (breaches_.size() >= kMostBreaches) return;
--- a/lab/model/judge.h
+++ b/lab/model/judge.h
@@ -102,7 +102,6 @@
   uint64_t broken() const { return broken_; }
   // Everything about the day as it stands: figures, prices, marks, series by the second, breaches.
   nlohmann::json Report(Micros now) const;
-  uint64_t Digest() const;
 
  private:
   struct Second {
--- a/lab/play/real/process.cpp
+++ b/lab/play/real/process.cpp
@@ -78,7 +78,6 @@
   };
   use_.cpu_s = seconds(used.ru_utime) + seconds(used.ru_stime);
   use_.peak_kb = std::max(use_.peak_kb, used.ru_maxrss);
-  well_ = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   how_ = WIFSIGNALED(status) ? "was ended by signal " + std::to_string(WTERMSIG(status))
                              : "exited with status " + std::to_string(WEXITSTATUS(status));
   return how_;
--- a/lab/play/real/process.h
+++ b/lab/play/real/process.h
@@ -35,13 +35,11 @@
   void Signal(int signal) const;
   // How it ended, in plain words; none while it runs.
   std::optional<std::string> Ended();
-  bool ended_well() const { return well_; }
   ProcessUse Use();  // what it used so far; as last seen where it has ended
-  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
-  bool reaped_ = false, well_ = false;
+  bool reaped_ = false;
   std::string how_;
   ProcessUse use_;
 };
--- a/lab/play/real/schedule.h
+++ b/lab/play/real/schedule.h
@@ -32,12 +32,7 @@
     Arm();
   }
   void After(Micros wait, std::function<void()> what) { At(Now() + wait, std::move(what)); }
-  void Clear() {
-    due_ = {};
-    timer_.cancel();
-  }
-  // By how much the lab was late, in microseconds; in no order.
-  const std::vector<Micros>& lateness() const { return lateness_; }
+  // By how much the lab was late, at that share of all moments.
   Micros LateAt(double share) const {
     if (lateness_.empty()) return 0;
     std::vector<Micros> sorted = lateness_;
--- a/lab/tests/model_test.cpp
+++ b/lab/tests/model_test.cpp
@@ -101,7 +101,6 @@
   EXPECT_FALSE(rig.backend->Push(9, 0.1, true));  // just what it bears
   auto tip = rig.backend->Push(10, 0.1, true);
   ASSERT_TRUE(tip);
-  EXPECT_TRUE(rig.backend->tipped());
   EXPECT_FALSE(rig.backend->up());
   EXPECT_NEAR(tip->told_share, 8.0 / 11, 1e-9);
   EXPECT_NEAR(tip->pushed_s, 1.1, 1e-9);
