Lab: no closures that hold themselves; one place for when SIGKILL follows SIGTERM

The longest deadline was summed in three places, and the time from SIGTERM to SIGKILL written twice.

--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -248,12 +248,9 @@
         Micros then = at + (to - at) * static_cast<Micros>(i / batch) /
                                static_cast<Micros>(std::max<size_t>(1, batches));
         Put(then, Happening::kTerminate, {chosen[i]});
-        // SIGKILL comes after the longest deadline and 0.7 s; the new process starts down_s later.
-        double deadline = 0;
-        for (const DayClass& c : d_->classes) deadline = std::max(deadline, c.deadline_s);
-        Put(then + FromS(std::min(deadline, 3.0) + 0.7), Happening::kKill, {chosen[i]});
-        Put(then + FromS(std::min(deadline, 3.0) + 0.7 + Pick(r_, e.down_s)), Happening::kRevive,
-            {chosen[i]});
+        Micros killed = then + d_->KillAfter();
+        Put(killed, Happening::kKill, {chosen[i]});
+        Put(killed + FromS(Pick(r_, e.down_s)), Happening::kRevive, {chosen[i]});
       }
     } else if (e.kind == "stop") {
       Both(at, to, Happening::kStop, Happening::kContinue, Some(r_, all, part), 0);
@@ -385,6 +382,14 @@
   return "";
 }
 
+Micros Day::LongestDeadline() const {
+  Micros longest = 0;
+  for (const DayClass& c : classes) longest = std::max(longest, FromS(c.deadline_s));
+  return longest;
+}
+
+Micros Day::KillAfter() const { return std::min(LongestDeadline(), 3 * kSecond) + FromS(0.7); }
+
 double Day::Capacity() const {
   double sum = 0;
   for (const DayBackend& b : backends) sum += b.starts_at == 0 ? b.cores * b.speed : 0;
--- a/lab/model/day.h
+++ b/lab/model/day.h
@@ -134,7 +134,9 @@
          rude_price = 0, hidden_price = 0;
   double goal_whole = 0, goal_window = 0, goal_plan = 0;
 
-  double Capacity() const;  // work that the backends of the start do in a second
+  Micros LongestDeadline() const;  // of any class
+  Micros KillAfter() const;        // from SIGTERM to SIGKILL at the soonest, as PROTOCOL has it
+  double Capacity() const;         // work that the backends of the start do in a second
 };
 
 Day DrawDay(const Scenario& scenario, uint64_t seed);
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -16,8 +16,9 @@
 namespace lemonchute::lab {
 namespace {
 
-constexpr Micros kReadyLimit = 30 * kSecond;  // clients come then at the latest (DEPLOY)
-constexpr Micros kReadyEach = 100'000;        // the front asks ten times a second (LATER)
+constexpr Micros kReadyLimit = 30 * kSecond;   // clients come then at the latest (DEPLOY)
+constexpr Micros kUpgradeLimit = 6 * kSecond;  // a new process says yes by then (LATER)
+constexpr Micros kReadyEach = 100'000;         // the front asks ten times a second (LATER)
 constexpr Micros kEndLimit = 5 * kSecond;
 constexpr Micros kWatchEach = 50'000;
 
@@ -111,24 +112,23 @@
     AskReady(g);
   }
   Watch();
-  // Looks until all are ready; the last look is at the limit.
-  auto look = std::make_shared<std::function<void()>>();
-  Micros until = world_.Now() + kReadyLimit;
-  *look = [this, look, until, ready = std::move(ready)] {
-    std::vector<int> late;
-    for (int g = 0; g < world_.day.gateways; ++g) {
-      if (!members_[static_cast<size_t>(g)].ready) late.push_back(g);
-    }
-    // Who has ended will not be ready by waiting.
-    bool waits = std::any_of(late.begin(), late.end(), [this](int g) {
-      return !members_[static_cast<size_t>(g)].processes.back()->Ended();
-    });
-    if (waits && world_.Now() < until && !ending_) return world_.schedule.After(kReadyEach, *look);
-    auto done = ready;
-    world_.io.post([done, late] { done(late); });
-    *look = {};
-  };
-  world_.schedule.After(kReadyEach, *look);
+  on_ready_ = std::move(ready);
+  world_.schedule.After(kReadyEach, [this, until = world_.Now() + kReadyLimit] { LookReady(until); });
+}
+
+void Fleet::LookReady(Micros until) {
+  std::vector<int> late;
+  for (int g = 0; g < world_.day.gateways; ++g) {
+    if (!members_[static_cast<size_t>(g)].ready) late.push_back(g);
+  }
+  // Who has ended will not be ready by waiting.
+  bool waits = std::any_of(late.begin(), late.end(), [this](int g) {
+    return !members_[static_cast<size_t>(g)].processes.back()->Ended();
+  });
+  if (waits && world_.Now() < until && !ending_) {
+    return world_.schedule.After(kReadyEach, [this, until] { LookReady(until); });
+  }
+  world_.io.post([this, late] { on_ready_(late); });
 }
 
 // As the front does: ten times a second, on a connection that is kept.
@@ -225,26 +225,27 @@
   Process* old = m.processes.back().get();
   Launch(gateway, true);
   int ops = m.ops;
-  double deadline = 0;
-  for (const DayClass& c : world_.day.classes) deadline = std::max(deadline, c.deadline_s);
-  Micros until = world_.Now() + 6 * kSecond;
-  auto ask = std::make_shared<std::function<void()>>();
-  *ask = [this, ask, gateway, ops, old, deadline, until] {
-    door_.Call(gateway, ops, "GET", "/control/ready",
-               [this, ask, gateway, old, deadline, until](const HttpConnection::Answer& answer, Micros) {
-                 if (answer.status != 200) {
-                   if (world_.Now() < until) return world_.schedule.After(kReadyEach, *ask);
-                   return world_.judge.Broke(
-                       "upgrade", world_.Now(), UINT32_MAX,
-                       GatewayName(gateway) + ": the new process was not ready within 6 s");
-                 }
+  Micros until = world_.Now() + kUpgradeLimit;
+  world_.schedule.After(kReadyEach,
+                        [this, gateway, ops, old, until] { AskUpgraded(gateway, ops, old, until); });
+}
+
+void Fleet::AskUpgraded(int gateway, int ops, Process* old, Micros until) {
+  door_.Call(gateway, ops, "GET", "/control/ready",
+             [this, gateway, ops, old, until](const HttpConnection::Answer& answer, Micros) {
+               if (answer.status == 200) {
                  old->Signal(SIGTERM);
-                 world_.schedule.After(FromS(std::min(deadline, 3.0) + 0.7), [old] {
+                 return world_.schedule.After(world_.day.KillAfter(), [old] {
                    if (!old->Ended()) old->Signal(SIGKILL);
                  });
-               });
-  };
-  world_.schedule.After(kReadyEach, *ask);
+               }
+               if (world_.Now() < until) {
+                 return world_.schedule.After(
+                     kReadyEach, [this, gateway, ops, old, until] { AskUpgraded(gateway, ops, old, until); });
+               }
+               world_.judge.Broke("upgrade", world_.Now(), UINT32_MAX,
+                                  GatewayName(gateway) + ": the new process was not ready within 6 s");
+             });
 }
 
 void Fleet::Retune(double scale) {
@@ -282,22 +283,21 @@
       process->Signal(SIGTERM);
     }
   }
-  Micros until = world_.Now() + kEndLimit;
-  auto look = std::make_shared<std::function<void()>>();
-  *look = [this, look, until, done] {
-    bool all = true;
-    for (Member& m : members_) {
-      for (auto& process : m.processes) all &= process->Ended().has_value();
-    }
-    if (!all && world_.Now() < until) return world_.schedule.After(kWatchEach, *look);
-    for (Member& m : members_) {
-      for (auto& process : m.processes) process->Signal(SIGKILL);
-    }
-    auto last = done;
-    world_.io.post(last);
-    *look = {};
-  };
-  (*look)();
+  on_ended_ = std::move(done);
+  LookEnded(world_.Now() + kEndLimit);
+}
+
+void Fleet::LookEnded(Micros until) {
+  bool all = true;
+  for (Member& m : members_) {
+    for (auto& process : m.processes) all &= process->Ended().has_value();
+  }
+  if (!all && world_.Now() < until)
+    return world_.schedule.After(kWatchEach, [this, until] { LookEnded(until); });
+  for (Member& m : members_) {
+    for (auto& process : m.processes) process->Signal(SIGKILL);
+  }
+  world_.io.post([this] { on_ended_(); });
 }
 
 nlohmann::json Fleet::Report() {
--- a/lab/play/real/fleet.h
+++ b/lab/play/real/fleet.h
@@ -52,6 +52,9 @@
     std::unique_ptr<CounterStand> counter;
     std::string temporary;
   };
+  void LookReady(Micros until);  // again and again until all are, or until then
+  void LookEnded(Micros until);
+  void AskUpgraded(int gateway, int ops, Process* old, Micros until);
   void Launch(int gateway, bool beside);
   void AskReady(int gateway);
   void Watch();
@@ -65,6 +68,8 @@
   double scale_ = 1;
   uint64_t hups_ = 0;
   std::vector<Member> members_;
+  std::function<void(std::vector<int>)> on_ready_;
+  std::function<void()> on_ended_;
   bool ending_ = false;
 };
 
--- a/lab/play/virtual/backends.cpp
+++ b/lab/play/virtual/backends.cpp
@@ -30,7 +30,6 @@
     cores_.emplace_back(world.day, b);
     if (b.starts_at == 0) cores_.back().Start(0, false);
   }
-  for (const DayClass& c : world.day.classes) longest_ = std::max(longest_, FromS(c.deadline_s));
 }
 
 Micros VirtualBackends::Way(uint32_t gateway, uint32_t backend) {
@@ -223,13 +222,14 @@
 void VirtualBackends::Start(uint32_t backend) { cores_[backend].Start(world_.Now(), true); }
 
 void VirtualBackends::End(uint32_t backend) {
+  Micros longest = world_.day.LongestDeadline();
   Advance(backend);
   cores_[backend].Stop();
   connections_[backend] = 0;
   for (auto& idle : idle_) idle.erase(backend);
   for (auto index = static_cast<uint32_t>(attempts_.size()); index-- > 0;) {
     Attempt& attempt = attempts_[index];
-    if (world_.Now() - attempt.sent > longest_ + kSecond) break;  // none outlives its client's patience
+    if (world_.Now() - attempt.sent > longest + kSecond) break;  // none outlives its client's patience
     if (attempt.backend != backend || !attempt.out) continue;
     attempt.out = false;
     world_.judge.Back(world_.Now(), attempt.id, false, 0);
--- a/lab/play/virtual/backends.h
+++ b/lab/play/virtual/backends.h
@@ -85,7 +85,6 @@
   std::vector<Attempt> attempts_;
   std::vector<std::unordered_map<uint32_t, std::vector<Micros>>> idle_;  // by gateway and backend: since when
   std::vector<Backend::End> ends_;
-  Micros longest_ = 0;  // deadline of any class
 };
 
 }  // namespace lemonchute::lab
