--- a/lab/experiment/compare.cpp
+++ b/lab/experiment/compare.cpp
@@ -78,7 +78,7 @@
         std::vector<std::string> arguments = {"run", scenario, "--seeds", std::to_string(seed), "--json"};
         for (const std::string& setting : builds.settings)
           arguments.insert(arguments.end(), {"--set", setting});
-        if (builds.real) arguments.insert(arguments.end(), {"--real", "--gateway", build + "/ivygw"});
+        if (builds.real) arguments.insert(arguments.end(), {"--real", "--gateway", build + "/lemonchute"});
         return nlohmann::json::parse(
             Capture(builds.real ? builds.lab : build + "/lemonchute-lab", arguments));
       };
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -102,7 +102,7 @@
   std::tie(batch.first_seed, batch.last_seed) = ReadSeeds(asked.seeds);
   batch.way = asked.null_run ? Way::kNull : asked.real ? Way::kReal : Way::kVirtual;
   batch.jobs = std::clamp(asked.jobs, 1, 256);
-  batch.real.program = asked.gateway.empty() ? BesideLab("ivygw") : asked.gateway;
+  batch.real.program = asked.gateway.empty() ? BesideLab("lemonchute") : asked.gateway;
   batch.real.folder = asked.logs;
   batch.progress = ProgressLine();
   return batch;
--- a/lab/play/real/real_day.h
+++ b/lab/play/real/real_day.h
@@ -13,10 +13,10 @@
 namespace lemonchute::lab {
 
 struct RealOptions {
-  std::string program = "build/ivygw";  // the gateway
-  std::string folder;                   // for logs and configurations; empty: one that ends with the day
-  bool visitors = false;                // backends serve requests that no client of the lab sent
-  bool null_run = false;                // no gateway between: what the lab itself costs
+  std::string program = "build/lemonchute";  // the gateway
+  std::string folder;                        // for logs and configurations; empty: one that ends with the day
+  bool visitors = false;                     // backends serve requests that no client of the lab sent
+  bool null_run = false;                     // no gateway between: what the lab itself costs
   // Once all gateways are ready, and each second then: what to show.
   std::function<void(const nlohmann::json& now)> watch;
 };
--- a/lab/play/virtual/backends.cpp
+++ b/lab/play/virtual/backends.cpp
@@ -6,7 +6,7 @@
 namespace lemonchute::lab {
 namespace {
 
-using micadock::Result;
+using policy::Result;
 
 // With more backends than this, regret is taken of one attempt in sixteen: it looks at all of them.
 constexpr size_t kRegretEach = 500;
--- a/lab/play/virtual/gateways.cpp
+++ b/lab/play/virtual/gateways.cpp
@@ -9,11 +9,11 @@
 namespace lemonchute::lab {
 namespace {
 
-using micadock::Action;
-using micadock::ActionKind;
-using micadock::Actions;
-using micadock::Balancer;
-using micadock::Result;
+using policy::Action;
+using policy::ActionKind;
+using policy::Actions;
+using policy::Balancer;
+using policy::Result;
 
 constexpr double kEpochS = 1000;  // the modules' clock at the day's start; it begins at an arbitrary value
 
@@ -69,10 +69,9 @@
   }
 }
 
-micadock::Settings VirtualGateways::SettingsFor(uint32_t gateway) const {
+policy::Settings VirtualGateways::SettingsFor(uint32_t gateway) const {
   Addresses nowhere{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", {}};
-  return ivygw::ParseConfig(
-             ConfigurationOf(world_.day, static_cast<int>(gateway), nowhere, nullptr, 1, scale_))
+  return net::ParseConfig(ConfigurationOf(world_.day, static_cast<int>(gateway), nowhere, nullptr, 1, scale_))
       .settings;
 }
 
@@ -84,14 +83,14 @@
   g.module =
       std::make_unique<Balancer>(SettingsFor(gateway), seeds_.Bits(), kEpochS + ToS(world_.Now()), &actions);
   for (const Action& action : actions) Act(gateway, action);
-  GiveList(gateway, micadock::ListKind::kCached, world_.discovery.ListAt(g.version));
+  GiveList(gateway, policy::ListKind::kCached, world_.discovery.ListAt(g.version));
   if (world_.Now() == 0) return;
   world_.judge.GatewayStarted(world_.Now(), static_cast<int>(gateway));
   world_.agenda.AtGateway(gateway, world_.Now() + FromS(world_.day.agent_s), [this, gateway, life = g.life] {
     Gateway& started = gateways_[gateway];
     if (started.module == nullptr || life != started.life) return;
     started.version = world_.discovery.VersionAt(static_cast<int>(gateway), world_.Now());
-    GiveList(gateway, micadock::ListKind::kFull, world_.discovery.ListAt(started.version));
+    GiveList(gateway, policy::ListKind::kFull, world_.discovery.ListAt(started.version));
     world_.front.Ready(static_cast<int>(gateway));
   });
 }
@@ -126,23 +125,23 @@
   for (int v = g.version; v < version; ++v)
     entries.push_back(world_.discovery.changes()[static_cast<size_t>(v)].entry);
   g.version = version;
-  GiveList(gateway, micadock::ListKind::kDelta, entries);
+  GiveList(gateway, policy::ListKind::kDelta, entries);
 }
 
-void VirtualGateways::GiveList(uint32_t gateway, micadock::ListKind kind,
+void VirtualGateways::GiveList(uint32_t gateway, policy::ListKind kind,
                                const std::vector<Discovery::Entry>& entries) {
   Gateway& g = gateways_[gateway];
-  if (kind != micadock::ListKind::kDelta) g.listed.assign(world_.day.backends.size(), 0);
-  std::vector<micadock::Backend> list;
+  if (kind != policy::ListKind::kDelta) g.listed.assign(world_.day.backends.size(), 0);
+  std::vector<policy::Backend> list;
   list.reserve(entries.size());
   for (const Discovery::Entry& entry : entries) {
     auto b = static_cast<uint32_t>(entry.backend);
     g.listed[b] = entry.state == Listed::kActive ? 1 : 0;
-    micadock::Backend backend;
+    policy::Backend backend;
     backend.id = b + 1;
-    backend.state = entry.state == Listed::kActive    ? micadock::BackendState::kReady
-                    : entry.state == Listed::kLeaving ? micadock::BackendState::kDraining
-                                                      : micadock::BackendState::kGone;
+    backend.state = entry.state == Listed::kActive    ? policy::BackendState::kReady
+                    : entry.state == Listed::kLeaving ? policy::BackendState::kDraining
+                                                      : policy::BackendState::kGone;
     backend.zone = world_.day.backends[b].zone;
     backend.cell = entry.backend / 4;
     backend.weight = 1;
@@ -161,7 +160,7 @@
   const Customer& c = world_.day.customers[a.customer];
   world_.judge.Taken(world_.Now(), id);
   gateways_[gateway].held[id];
-  micadock::Request request;
+  policy::Request request;
   request.id = id, request.cls = a.cls, request.plan = c.plan, request.customer = c.key;
   request.left_s = std::max(0.001, ToS(t.sent + t.patience - world_.Now()));
   request.units = a.guess, request.entries = c.spread;
@@ -227,7 +226,7 @@
   if (held == g.held.end()) return;
   backends_.Settle(index);
   --held->second.waiting;
-  micadock::Outcome outcome;
+  policy::Outcome outcome;
   outcome.request = id, outcome.attempt = attempt.number, outcome.took_s = ToS(world_.Now() - attempt.sent);
   outcome.result = attempt.result, outcome.backend = attempt.backend + 1;
   if (attempt.result == Result::kOk && !held->second.ended) {
@@ -282,7 +281,7 @@
 void VirtualGateways::Total(uint32_t index, bool in_time) {
   Call& call = calls_[index];
   if (!call.told && call.life == gateways_[call.gateway].life) {
-    micadock::CountAnswer answer{call.name, call.total, in_time ? call.result : Result::kTimeout};
+    policy::CountAnswer answer{call.name, call.total, in_time ? call.result : Result::kTimeout};
     if (answer.result != Result::kOk) answer.total = 0;
     call.told = true;
     Tell(call.gateway, [&](Balancer& b, double now, Actions* out) { b.OnCount(now, answer, out); });
--- a/lab/play/virtual/gateways.h
+++ b/lab/play/virtual/gateways.h
@@ -42,12 +42,12 @@
     uint32_t gateway = 0, life = 0;
     uint64_t name = 0;
     double amount = 0, keep_ms = 0, total = 0;
-    micadock::Result result = micadock::Result::kTimeout;
+    policy::Result result = policy::Result::kTimeout;
     bool told = false;
     int pending = 2;  // events that still name it: its arrival or answer, and its time-out
   };
   struct Gateway {
-    std::unique_ptr<micadock::Balancer> module;
+    std::unique_ptr<policy::Balancer> module;
     uint32_t life = 0;
     std::unordered_map<uint32_t, Held> held;
     std::vector<char> listed;
@@ -56,17 +56,17 @@
 
   template <typename What>
   void Tell(uint32_t gateway, What event);
-  void Act(uint32_t gateway, const micadock::Action& action);
-  void SendAttempt(uint32_t gateway, const micadock::Action& action);
+  void Act(uint32_t gateway, const policy::Action& action);
+  void SendAttempt(uint32_t gateway, const policy::Action& action);
   void Finish(uint32_t gateway, uint32_t id, Final final, double retry_after_s);
   void Outcome(uint32_t attempt);
   void ForgetIfOver(uint32_t gateway, uint32_t id);
-  void GiveList(uint32_t gateway, micadock::ListKind kind, const std::vector<Discovery::Entry>& entries);
-  void Count(uint32_t gateway, const micadock::Action& action);
+  void GiveList(uint32_t gateway, policy::ListKind kind, const std::vector<Discovery::Entry>& entries);
+  void Count(uint32_t gateway, const policy::Action& action);
   void CallThere(uint32_t call);
   void Total(uint32_t call, bool in_time);
   void Release(uint32_t call);
-  micadock::Settings SettingsFor(uint32_t gateway) const;
+  policy::Settings SettingsFor(uint32_t gateway) const;
 
   VirtualWorld& world_;
   Answer answer_;
@@ -76,7 +76,7 @@
   std::vector<Gateway> gateways_;
   std::vector<Call> calls_;
   std::vector<uint32_t> free_calls_;
-  micadock::Actions actions_;
+  policy::Actions actions_;
 };
 
 }  // namespace lemonchute::lab
--- a/lab/tests/cuts.cmake
+++ b/lab/tests/cuts.cmake
@@ -18,7 +18,7 @@
     target_link_libraries(lab_cut_${name} PRIVATE lemonchute_lab_experiment)
   else()
     add_executable(lab_cut_${name} ${CMAKE_SOURCE_DIR}/src/main.cpp ${copy})
-    target_link_libraries(lab_cut_${name} PRIVATE ivygw_net)
+    target_link_libraries(lab_cut_${name} PRIVATE lemonchute_net)
   endif()
   target_compile_options(lab_cut_${name} PRIVATE -w -O1)  # a fault may leave code that nothing reaches
   add_dependencies(lemonchute_lab_tests lab_cut_${name})
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1,4 +1,4 @@
-// The decision module of micadock: every decision, table and tuned value. Its interface is src/balance.h.
+// The decision module of lemonchute: every decision, table and tuned value. Its interface is src/balance.h.
 #include "balance.h"
 
 #include <algorithm>
@@ -8,7 +8,7 @@
 #include <unordered_set>
 #include <utility>
 
-namespace micadock {
+namespace lemonchute::policy {
 namespace {
 
 // Tuned values; each is ours unless the paper is named.
@@ -16,15 +16,15 @@
 constexpr int kTicks = 16;              // ticks kept, so that a customer of few requests finds its last one
 constexpr double kBatchShare = 0.25;    // of the tokens left, over the entries: what may be sent untold
 constexpr double kFlushWindows = 0.25;  // windows after which untold units are told anyway
-constexpr double kSlackShare = 0.95;  // of a ceiling's slack that is used: the rest is for rounding
+constexpr double kSlackShare = 0.95;    // of a ceiling's slack that is used: the rest is for rounding
 constexpr double kEpochS = 4;  // s after which attempts out are counted anew: a dead gateway's are gone then
 constexpr double kIdleWindows = 3, kIdleS = 10;  // idle customers are dropped after both
 constexpr double kGapMaxS = 0.3;      // s between a gateway's calls to a counter that fails, but no more
 constexpr double kSilentCalls = 100;  // calls a second than this of all gateways
 constexpr int kSilentRun = 4;         // failed calls in a row after which the counter counts as silent
-constexpr double kLeastPart = 0.5;  // of an even part, that traffic moving here in silence finds
-constexpr double kFailWeight = 0.1;  // of an answer in a backend's share of failures; a failure's is twice
-constexpr double kEjectAt = 0.48;    // share of failures at which a backend is set aside: three in a row
+constexpr double kLeastPart = 0.5;    // of an even part, that traffic moving here in silence finds
+constexpr double kFailWeight = 0.1;   // of an answer in a backend's share of failures; a failure's is twice
+constexpr double kEjectAt = 0.48;     // share of failures at which a backend is set aside: three in a row
 constexpr double kEjectMinS = 0.5, kEjectMaxS = 4.0;  // s set aside
 constexpr double kDeadS = 1.5;  // s without an answer, after which a failed connection means a dead process
 constexpr double kMostEjected = 0.25;  // of the ready backends; beyond that the fault is likely elsewhere
@@ -37,30 +37,30 @@
 constexpr double kPaceS = 0.7;                    // s after which what was known of the pace is old
 constexpr double kSpeedLeast = 0.05, kSpeedMost = 0.15;  // weight of one answer in a backend's speed,
 constexpr double kSpeedS = 20;                           // more the longer none came, as a share of this
-constexpr double kColdShare = 0.4;                // of the tip multiple that all gateways use together
+constexpr double kColdShare = 0.4;                       // of the tip multiple that all gateways use together
 constexpr double kWarmShare = 0.8;  // of what a warm backend serves, that a cold one is sent for its fraction
 constexpr double kWarmS = 2;        // s over which that is taken
 constexpr double kColdFirst = 0.05;  // of its cost, for a cold one that has budget left: it comes first
-constexpr double kColdSaveS = 0.3;  // s of a cold backend's budget that may be saved up
+constexpr double kColdSaveS = 0.3;   // s of a cold backend's budget that may be saved up
 constexpr double kSteer = 0.02;      // of the share let in, at least, for an answer off by the queue target,
 constexpr double kSteerS = 0.8;      // s in which answers off by that change it by its like, if they are rare
 constexpr double kSteerBack = 0.05;  // a second, that comes back of itself
 constexpr double kLeastLetIn = 0.05;  // share let in at least, so that answers go on telling
-constexpr double kCheckShare = 0.5;  // of the aim after which a silent backend may be given up,
-constexpr double kCheckTimes = 6;    // and so many times what its answers take: chance alone is rarer
+constexpr double kCheckShare = 0.5;   // of the aim after which a silent backend may be given up,
+constexpr double kCheckTimes = 6;     // and so many times what its answers take: chance alone is rarer
 constexpr double kRetryShare = 0.1, kRetryStore = 20;  // further attempts for each first one; most saved
 constexpr double kLearn = 0.02;      // weight of one answer in a class's mean time and units
 constexpr double kWorkPrior = 0.25;  // of the aim: the time a request takes, until answers tell
 
-constexpr double kSlowCall = 0.8;   // of the counter's time-out, after which an answer is a sign of crowding
+constexpr double kSlowCall = 0.8;  // of the counter's time-out, after which an answer is a sign of crowding
 constexpr double kCrowdGrow = 0.1, kCrowdShrink = 0.1;  // of the price of crowding, on such a sign; on none
 constexpr double kDearCall = 5, kMostUntold = 0.8;  // share of such tries for each price of a call; at most
-constexpr double kCallsPerAsk = 1.5;    // one to ask and add, at times one to put that right
+constexpr double kCallsPerAsk = 1.5;                // one to ask and add, at times one to put that right
 constexpr double kAskPatience = 4;      // of the counter's time-out, that a try must have left to be held
 constexpr double kJustTold = 0.9;       // of attempts told, still out: too few have ended to guess
 constexpr double kSureOfRoom = 0.9;     // chance of room under a cap above which its count is not asked for
 constexpr double kOutKeepS = 1;         // s for which a customer's attempts out stay like what was told
-constexpr double kInsideAtFirst = 0.7;                   // share of tries inside, until questions tell
+constexpr double kInsideAtFirst = 0.7;  // share of tries inside, until questions tell
 constexpr double kLearnInside = 0.05, kLearnOwn = 0.3;  // weight of one for the plan, and for the customer
 
 uint64_t Mix(uint64_t x) {
@@ -85,11 +85,11 @@
   double others = 0, own = 0;  // units a second that other gateways send on, and this one
   double ceiling = 0;          // this gateway's part of the ceiling's store
   int64_t window = 0;
-  double carried = 0;              // burst less S at this window's start, as known here
-  double used = 0;                 // units of this window: burst less S at its start, told and own sends
-  double total = 0, read_at = 0;   // last total told in this window, and when
-  double pending = 0;              // own units not yet told; a call that timed out counts as told
-  double passed = 0;               // before the first read
+  double carried = 0;                   // burst less S at this window's start, as known here
+  double used = 0;                      // units of this window: burst less S at its start, told and own sends
+  double total = 0, read_at = 0;        // last total told in this window, and when
+  double pending = 0;                   // own units not yet told; a call that timed out counts as told
+  double passed = 0;                    // before the first read
   bool known = false, calling = false;  // a first read has come; a call is out
   int64_t asked_tick = -1;
   double asked = 0;                                  // V_i: units asked for in asked_tick
@@ -98,9 +98,9 @@
   double told = 0;                                   // own attempts out as told in this epoch
   double out_others = 0, out_at = -1, out_mean = 0;  // others' as last told, when, and their mean
   bool out_calling = false, untold = false;  // a call is out; a change waits for the counter to be free
-  double asked_all = 0;  // units
-  double inside = 1;             // share of its tries held for the counter that were inside
-  std::vector<Waiting> waiting;  // held for the counter's answer, first come first
+  double asked_all = 0;                      // units
+  double inside = 1;                         // share of its tries held for the counter that were inside
+  std::vector<Waiting> waiting;              // held for the counter's answer, first come first
 };
 
 struct Node {
@@ -110,7 +110,7 @@
   double pace = 0;   // mean of answer time over aim
   double fails = 0;
   double aside_until = 0, aside_wait = 0;
-  bool trial = false;  // back from being set aside: one attempt at a time
+  bool trial = false;    // back from being set aside: one attempt at a time
   bool offline = false;  // by an operator's hand
   double limit = kLimitStart;
   double cut_at = 0, paced_at = 0;
@@ -169,7 +169,8 @@
   // The tables by class and plan, for those that the settings have added.
   static void Extend(PreparedSettings* p) {
     const Settings& s = p->settings;
-    for (size_t i = p->work.size(); i < s.classes.size(); ++i) p->work.push_back(s.classes[i].aim_s * kWorkPrior);
+    for (size_t i = p->work.size(); i < s.classes.size(); ++i)
+      p->work.push_back(s.classes[i].aim_s * kWorkPrior);
     p->class_units.resize(s.classes.size(), 0);
     p->longest_left.resize(s.classes.size(), 0);
     p->inside.resize(s.plans.size(), kInsideAtFirst);
@@ -240,7 +241,8 @@
     return true;
   }
 
-  // Places through which a customer may arrive. Processes of one gateway count as so many, which share its part.
+  // Places through which a customer may arrive. Processes of one gateway count as so many, which share its
+  // part.
   double Entries(const Customer& c) const { return c.entries * processes_; }
   static double WindowS(const PlanSettings& p) { return p.burst / p.rate; }
   static bool Soft(const PlanSettings& p) { return p.excess_worth > p.over_cost; }
@@ -539,7 +541,8 @@
     }
     double amount = c->open - c->told;
     if (amount == 0 && c->waiting.empty()) return;
-    if (now < counter_after_) {  // told as soon as calls are allowed, or others would go on counting what has ended
+    if (now <
+        counter_after_) {  // told as soon as calls are allowed, or others would go on counting what has ended
       if (c->untold) return;
       c->untold = true;
       untold_.push_back(id);
@@ -575,9 +578,7 @@
     return ticks_[tick % kTicks].pressed || ticks_[(tick + kTicks - 1) % kTicks].pressed;
   }
 
-  void MarkPressed(double now) {
-    ticks_[RollTick(now) % kTicks].pressed = true;
-  }
+  void MarkPressed(double now) { ticks_[RollTick(now) % kTicks].pressed = true; }
 
   void Charge(Customer* c, double units, double sign) {
     const PlanSettings& p = PlanOf(*c);
@@ -626,8 +627,8 @@
       if (chance >= 0.5) Charge(&c, r.units, 1);
       Arm(lives_[r.id] = std::move(live), now, out);
       c.waiting.push_back({r.id, r.units, chance >= 0.5});
-      // A cap in doubt is asked about as well: with none of its own attempts out, this gateway would go by what
-      // it was told of the others' for ever, and each of two could refuse on the other's account.
+      // A cap in doubt is asked about as well: with none of its own attempts out, this gateway would go by
+      // what it was told of the others' for ever, and each of two could refuse on the other's account.
       const PlanSettings& p = PlanOf(c);
       if (p.rate <= 0 || (c.open < p.parallel && OpenRoom(c, p, work_[r.cls], now) < kSureOfRoom)) {
         TellOpen(r.customer, &c, now, out);
@@ -1031,8 +1032,8 @@
     Node* n = FindNode(t.node);
     bool silent = t.out && n != nullptr && n->heard <= t.sent;
     bool passed_over = t.out && n != nullptr && n->answered > t.sent;
-    if ((silent || passed_over) && l.out == 1 && retry_store_ >= 1 && s_.classes[l.r.cls].effect == Effect::kFree &&
-        MayResend(l, now)) {
+    if ((silent || passed_over) && l.out == 1 && retry_store_ >= 1 &&
+        s_.classes[l.r.cls].effect == Effect::kFree && MayResend(l, now)) {
       if (l.parallel) {
         if (silent && n->out > 1) Fault(n, false, now, out);
         TryAgain(&l, now, out);
@@ -1113,4 +1114,4 @@
 int Balancer::Avoided(double now) const { return impl_->Avoided(now); }
 void Balancer::OnCount(double t, const CountAnswer& a, Actions* out) { impl_->OnCount(t, a, out); }
 
-}  // namespace micadock
+}  // namespace lemonchute::policy
--- a/src/balance.h
+++ b/src/balance.h
@@ -1,6 +1,6 @@
 // The only interface of the decision module (src/balance.cpp): settings, events in, actions out.
-#ifndef MICADOCK_BALANCE_H_
-#define MICADOCK_BALANCE_H_
+#ifndef LEMONCHUTE_BALANCE_H_
+#define LEMONCHUTE_BALANCE_H_
 
 #include <cstdint>
 #include <memory>
@@ -8,7 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
-namespace micadock {
+namespace lemonchute::policy {
 
 enum class Effect { kFree, kGuarded, kSingleShot };
 enum class Scope { kAll, kZone, kCell };
@@ -36,7 +36,7 @@
   double excess_worth = 0;  // share of worth earned beyond the quota
   double over_cost = 0;     // share of worth charged beyond the quota
   double price = 0;
-  int parallel = 0;  // 0: no cap on attempts out at once
+  int parallel = 0;      // 0: no cap on attempts out at once
   bool dropped = false;  // a place that only customers seen before still refer to
 };
 
@@ -165,6 +165,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace micadock
+}  // namespace lemonchute::policy
 
-#endif  // MICADOCK_BALANCE_H_
+#endif  // LEMONCHUTE_BALANCE_H_
--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -9,7 +9,7 @@
 #include <initializer_list>
 #include <set>
 
-namespace ivygw {
+namespace lemonchute::config {
 namespace {
 
 using nlohmann::json;
@@ -475,4 +475,4 @@
   return boost::uuids::to_string(generator(shared.dump(-1, ' ', false, json::error_handler_t::replace)));
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
--- a/src/config/check.h
+++ b/src/config/check.h
@@ -1,7 +1,7 @@
 // Whether a configuration is sound: every fault in one go, each at its place, and apart from them what is
 // only doubtful. No I/O.
-#ifndef IVYGW_CONFIG_CHECK_H_
-#define IVYGW_CONFIG_CHECK_H_
+#ifndef LEMONCHUTE_CONFIG_CHECK_H_
+#define LEMONCHUTE_CONFIG_CHECK_H_
 
 #include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
@@ -12,7 +12,7 @@
 
 #include "config/document.h"
 
-namespace ivygw {
+namespace lemonchute::config {
 
 // Whose configuration it is. The platform's is turned down only for what makes it unreadable, incomplete or
 // of no use (LATER, "New settings"): what else is doubtful in it is a warning. An operator's is written by
@@ -45,6 +45,6 @@
 // its text without the process's own keys.
 std::string ContentId(const nlohmann::json& document);
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
 
-#endif  // IVYGW_CONFIG_CHECK_H_
+#endif  // LEMONCHUTE_CONFIG_CHECK_H_
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace ivygw {
+namespace lemonchute::config {
 namespace {
 
 using nlohmann::json;
@@ -179,4 +179,4 @@
   }
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -1,14 +1,14 @@
 // Reads a configuration's text as JSON. Everything that is wrong with the text is named with the place (a
 // JSON Pointer, RFC 6901) and a plain reason. No I/O, and bounded work whatever the text holds.
-#ifndef IVYGW_CONFIG_DOCUMENT_H_
-#define IVYGW_CONFIG_DOCUMENT_H_
+#ifndef LEMONCHUTE_CONFIG_DOCUMENT_H_
+#define LEMONCHUTE_CONFIG_DOCUMENT_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace ivygw {
+namespace lemonchute::config {
 
 // One thing that is wrong: where, and why. An empty `at` is the whole.
 struct Fault {
@@ -36,13 +36,13 @@
   std::vector<Fault> faults;
 };
 
-// Of a configuration file. What is large in one is the list in `known`: room for 15,000 backends, 75 times the
-// fleet's. Reading takes 27 ms a MiB on the event loop, so the bound is no higher than that.
+// Of a configuration file. What is large in one is the list in `known`: room for 15,000 backends, 75 times
+// the fleet's. Reading takes 27 ms a MiB on the event loop, so the bound is no higher than that.
 inline constexpr size_t kMostFile = size_t{2} << 20;
 inline constexpr int kMostDepth = 32;  // four times that of what the platform sends
 
 Document ReadDocument(std::string_view text, size_t most_bytes = kMostFile);
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
 
-#endif  // IVYGW_CONFIG_DOCUMENT_H_
+#endif  // LEMONCHUTE_CONFIG_DOCUMENT_H_
--- a/src/config/plan.cpp
+++ b/src/config/plan.cpp
@@ -7,7 +7,7 @@
 
 #include "config/check.h"
 
-namespace ivygw {
+namespace lemonchute::config {
 namespace {
 
 using nlohmann::json;
@@ -129,4 +129,4 @@
   return candidate;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
--- a/src/config/plan.h
+++ b/src/config/plan.h
@@ -1,12 +1,12 @@
 // What a new configuration would change of the one that runs, and when each change takes hold. No I/O.
-#ifndef IVYGW_CONFIG_PLAN_H_
-#define IVYGW_CONFIG_PLAN_H_
+#ifndef LEMONCHUTE_CONFIG_PLAN_H_
+#define LEMONCHUTE_CONFIG_PLAN_H_
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
-namespace ivygw {
+namespace lemonchute::config {
 
 enum class Takes {
   kLive,        // at the commit, for all that is there
@@ -31,6 +31,6 @@
 // `candidate` with what needs a restart left as it runs: what can be taken of it now.
 nlohmann::json LivePart(const nlohmann::json& running, nlohmann::json candidate);
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
 
-#endif  // IVYGW_CONFIG_PLAN_H_
+#endif  // LEMONCHUTE_CONFIG_PLAN_H_
--- a/src/config/revisions.cpp
+++ b/src/config/revisions.cpp
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <utility>
 
-namespace ivygw {
+namespace lemonchute::config {
 namespace {
 
 using nlohmann::json;
@@ -387,4 +387,4 @@
   turned_down_.push_back({now.system_s, from, std::move(why)});
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
--- a/src/config/revisions.h
+++ b/src/config/revisions.h
@@ -2,8 +2,8 @@
 // plain state machine: it is told what is wished and what the clocks say, and answers with the state that
 // would come next. Whoever holds it prepares that state's configuration, writes the record, and only then
 // takes it by Take, which can't fail. No I/O, no clock.
-#ifndef IVYGW_CONFIG_REVISIONS_H_
-#define IVYGW_CONFIG_REVISIONS_H_
+#ifndef LEMONCHUTE_CONFIG_REVISIONS_H_
+#define LEMONCHUTE_CONFIG_REVISIONS_H_
 
 #include <cstdint>
 #include <memory>
@@ -17,7 +17,7 @@
 #include "config/check.h"
 #include "config/plan.h"
 
-namespace ivygw {
+namespace lemonchute::config {
 
 // The system's clock, for people and for a process that has no other; and one that only goes forward, which
 // all processes of a machine share until it is started anew.
@@ -137,6 +137,6 @@
   std::vector<TurnedDown> turned_down_;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::config
 
-#endif  // IVYGW_CONFIG_REVISIONS_H_
+#endif  // LEMONCHUTE_CONFIG_REVISIONS_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,5 @@
-// ivygw: one real gateway. Starts it, waits for signals, gives the exit status. With --check FILE it only
-// says what is wrong with that configuration.
+// lemonchute: one real gateway. Starts it, waits for signals, gives the exit status. With --check FILE it
+// only says what is wrong with that configuration.
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -19,19 +19,22 @@
 int CheckFile(const char* path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) {
-    std::fprintf(stderr, "ivygw: cannot read %s\n", path);
+    std::fprintf(stderr, "lemonchute: cannot read %s\n", path);
     return kUsage;
   }
-  std::string text(ivygw::kMostFile + 1, '\0');  // one more than is allowed, which is then too long
+  std::string text(lemonchute::config::kMostFile + 1,
+                   '\0');  // one more than is allowed, which is then too long
   in.read(text.data(), static_cast<std::streamsize>(text.size()));
   text.resize(static_cast<size_t>(in.gcount()));
-  ivygw::Document document = ivygw::ReadDocument(text);
-  ivygw::Findings found;
-  if (document.value.is_object()) found = ivygw::CheckConfig(document.value, ivygw::Author::kOperator);
+  lemonchute::config::Document document = lemonchute::config::ReadDocument(text);
+  lemonchute::config::Findings found;
+  if (document.value.is_object())
+    found = lemonchute::config::CheckConfig(document.value, lemonchute::config::Author::kOperator);
   found.faults.insert(found.faults.begin(), document.faults.begin(), document.faults.end());
-  for (const ivygw::Fault& fault : found.faults) std::printf("fault: %s\n", ivygw::OneLine({fault}).c_str());
-  for (const ivygw::Fault& fault : found.warnings)
-    std::printf("warning: %s\n", ivygw::OneLine({fault}).c_str());
+  for (const lemonchute::config::Fault& fault : found.faults)
+    std::printf("fault: %s\n", lemonchute::config::OneLine({fault}).c_str());
+  for (const lemonchute::config::Fault& fault : found.warnings)
+    std::printf("warning: %s\n", lemonchute::config::OneLine({fault}).c_str());
   std::printf("%zu faults, %zu warnings\n", found.faults.size(), found.warnings.size());
   return found.faults.empty() ? 0 : kUnsound;
 }
@@ -41,19 +44,19 @@
 int main(int argc, char** argv) {
   if (argc == 3 && std::strcmp(argv[1], "--check") == 0) return CheckFile(argv[2]);
   if (argc != 1) {
-    std::fprintf(stderr, "usage: ivygw, or ivygw --check FILE\n");
+    std::fprintf(stderr, "usage: lemonchute, or lemonchute --check FILE\n");
     return kUsage;
   }
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const char* path = std::getenv("LB_CONFIG");
-    if (path == nullptr) throw micadock::WireError("LB_CONFIG does not name the configuration");
+    if (path == nullptr) throw lemonchute::policy::WireError("LB_CONFIG does not name the configuration");
     boost::asio::io_context io(1);
     const char* folder = std::getenv("TMPDIR");
-    ivygw::ConfigKeeper keeper(io, path, folder == nullptr ? "" : folder);
-    ivygw::Config config = ivygw::ParseConfig(keeper.Begin());
-    ivygw::AddEnvironment(&config);
-    ivygw::Gateway gateway(io, config, &keeper);
+    lemonchute::net::ConfigKeeper keeper(io, path, folder == nullptr ? "" : folder);
+    lemonchute::net::Config config = lemonchute::net::ParseConfig(keeper.Begin());
+    lemonchute::net::AddEnvironment(&config);
+    lemonchute::net::Gateway gateway(io, config, &keeper);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code error, int) {
       if (error) return;
@@ -77,7 +80,7 @@
                  local.port());
     io.run();
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "ivygw: %s\n", error.what());
+    std::fprintf(stderr, "lemonchute: %s\n", error.what());
     return 1;
   }
   return 0;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -4,9 +4,9 @@
 #include <cmath>
 #include <optional>
 
-namespace ivygw {
+namespace lemonchute::net {
 
-using micadock::Result;
+using lemonchute::policy::Result;
 
 namespace {
 
@@ -463,4 +463,4 @@
   while (!idle_order_.empty()) idle_order_.front()->DropIdle();
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -1,7 +1,7 @@
 // Connections to backends, the attempts on them and how these end. Decides nothing: it sends where it is told
 // and reports one outcome for each attempt.
-#ifndef IVYGW_NET_BACKEND_POOL_H_
-#define IVYGW_NET_BACKEND_POOL_H_
+#ifndef LEMONCHUTE_NET_BACKEND_POOL_H_
+#define LEMONCHUTE_NET_BACKEND_POOL_H_
 
 #include <algorithm>
 #include <array>
@@ -18,7 +18,7 @@
 #include "net/counters.h"
 #include "net/http.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 using Clock = std::chrono::steady_clock;
 inline Clock::duration Seconds(double s) {
@@ -26,7 +26,7 @@
 }
 
 struct AttemptEnd {
-  micadock::Result result = micadock::Result::kOk;
+  lemonchute::policy::Result result = lemonchute::policy::Result::kOk;
   bool streamed = false;  // the answer has begun before: neither headers nor body are here
   double took_s = 0;
   double upload_s = 0;  // of that, until the last byte of a request that came in pieces
@@ -99,6 +99,6 @@
   std::list<Connection*> idle_order_;                              // longest idle first
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_BACKEND_POOL_H_
+#endif  // LEMONCHUTE_NET_BACKEND_POOL_H_
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
 // What is read of a client ahead of its answer. Past that nothing is until it is answered, so that clients
@@ -549,4 +549,4 @@
   }
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -1,6 +1,6 @@
 // The side towards clients: the listener, their connections, parsing and answers.
-#ifndef IVYGW_NET_CLIENT_SERVER_H_
-#define IVYGW_NET_CLIENT_SERVER_H_
+#ifndef LEMONCHUTE_NET_CLIENT_SERVER_H_
+#define LEMONCHUTE_NET_CLIENT_SERVER_H_
 
 #include <array>
 #include <functional>
@@ -12,7 +12,7 @@
 
 #include "net/backend_pool.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 using ClientMessage = http::request<http::string_body>;
 
@@ -83,6 +83,6 @@
   std::array<char, kPiece> scratch_;  // where a parser puts what it decodes, for the moment of one call
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_CLIENT_SERVER_H_
+#endif  // LEMONCHUTE_NET_CLIENT_SERVER_H_
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -4,17 +4,19 @@
 #include <cstdlib>
 #include <unordered_map>
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
-using micadock::WireError;
+using lemonchute::policy::WireError;
 using nlohmann::json;
 
 constexpr int kPassedSocket = 4;  // where its variable is set to something else than a number
 
 void FlattenInto(const std::string& path, const json& value, std::string* out) {
   auto line = [&](const std::string& key, const std::string& text) { *out += key + "=" + text + "\n"; };
-  auto plain = [](const json& v) { return v.is_string() ? PlainName(v.get<std::string>()) : v.dump(); };
+  auto plain = [](const json& v) {
+    return v.is_string() ? config::PlainName(v.get<std::string>()) : v.dump();
+  };
   if (value.is_object()) {
     for (const auto& [key, inner] : value.items()) {
       FlattenInto(path.empty() ? key : path + "." + key, inner, out);
@@ -111,7 +113,7 @@
 }
 
 tcp::endpoint ParseAddress(const std::string& key, const std::string& text) {
-  auto address = ReadAddress(text);
+  auto address = config::ReadAddress(text);
   if (!address) throw WireError("setting is unreadable: " + key + "=" + text);
   return {address->host, address->port};
 }
@@ -149,16 +151,16 @@
   if (settings == all.end()) throw WireError("setting is missing: settings");
   if (!settings->is_object()) throw WireError("setting is unreadable: settings");
   std::string flat = Flatten(*settings);
-  config.settings = micadock::ParseSettings(flat);
-  config.site = micadock::ParseSite(flat);
+  config.settings = lemonchute::policy::ParseSettings(flat);
+  config.site = lemonchute::policy::ParseSite(flat);
   if (config.settings.may_count && !config.has_counter) throw WireError("setting is missing: counter");
   return config;
 }
 
-Merged MergeSettings(const Config& current, Config fresh, const micadock::Places& in_use) {
+Merged MergeSettings(const Config& current, Config fresh, const lemonchute::policy::Places& in_use) {
   Merged out;
-  const micadock::SiteSettings& had = current.site;
-  micadock::SiteSettings& has = fresh.site;
+  const lemonchute::policy::SiteSettings& had = current.site;
+  lemonchute::policy::SiteSettings& has = fresh.site;
   std::vector<int> where;
   Place(
       had.classes, current.settings.classes, in_use.classes, &has.classes, &fresh.settings.classes,
@@ -197,4 +199,4 @@
   }
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -1,6 +1,6 @@
 // Reads a gateway's config.json into settings; holds no decision.
-#ifndef IVYGW_NET_CONFIG_H_
-#define IVYGW_NET_CONFIG_H_
+#ifndef LEMONCHUTE_NET_CONFIG_H_
+#define LEMONCHUTE_NET_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
@@ -12,7 +12,7 @@
 #include "config/check.h"
 #include "wire.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 using boost::asio::ip::tcp;
 
@@ -29,11 +29,11 @@
   int passed_socket = -1;  // a descriptor that listens for clients already, held by other processes too
   std::string folder;      // for files that the next process finds; empty: none
   nlohmann::json known;    // null where the gateway has no list yet
-  micadock::Settings settings;
-  micadock::SiteSettings site;  // an empty name: a class or plan that the settings have dropped
+  lemonchute::policy::Settings settings;
+  lemonchute::policy::SiteSettings site;  // an empty name: a class or plan that the settings have dropped
 };
 
-// "10.0.0.4:5000"; throws micadock::WireError naming `key` on anything else.
+// "10.0.0.4:5000"; throws lemonchute::policy::WireError naming `key` on anything else.
 tcp::endpoint ParseAddress(const std::string& key, const std::string& text);
 
 // The path=value lines that ParseSettings reads, from the nested form of the same settings.
@@ -43,21 +43,21 @@
 // that nothing else has.
 struct Merged {
   Config config;
-  micadock::Places renewed;  // places that were another's, or are new
+  lemonchute::policy::Places renewed;  // places that were another's, or are new
 };
 
 // What stays, keeps its place: a class that is as it was, a plan, zone or kind by its name. What the settings
 // drop keeps its place, without a name, as long as `in_use` says that something refers to it. The rest has
 // the places that are free, and new ones after all that there were. Keeps what the process has for itself.
-Merged MergeSettings(const Config& current, Config fresh, const micadock::Places& in_use);
+Merged MergeSettings(const Config& current, Config fresh, const lemonchute::policy::Places& in_use);
 
-// Of a document that CheckConfig found sound. Throws micadock::WireError all the same on what is missing or
-// unreadable.
+// Of a document that CheckConfig found sound. Throws lemonchute::policy::WireError all the same on what is
+// missing or unreadable.
 Config ParseConfig(const nlohmann::json& document);
 // What the environment adds to the file: LB_OPS goes before `ops`, TMPDIR names the folder, and
 // LB_PASSED_SOCKET the descriptor.
 void AddEnvironment(Config* config);
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_CONFIG_H_
+#endif  // LEMONCHUTE_NET_CONFIG_H_
--- a/src/net/config_keeper.cpp
+++ b/src/net/config_keeper.cpp
@@ -10,10 +10,10 @@
 #include "net/text.h"
 #include "wire.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
-using micadock::WireError;
+using lemonchute::policy::WireError;
 using nlohmann::json;
 
 // The other process holds the record for as long as a small file takes to be written. One that holds it for
@@ -29,15 +29,15 @@
   return value.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
-json ToJson(const std::vector<Fault>& faults) {
+json ToJson(const std::vector<config::Fault>& faults) {
   json out = json::array();
-  for (const Fault& fault : faults) out.push_back({{"at", fault.at}, {"why", fault.why}});
+  for (const config::Fault& fault : faults) out.push_back({{"at", fault.at}, {"why", fault.why}});
   return out;
 }
 
-json ToJson(const std::vector<Change>& changes) {
+json ToJson(const std::vector<config::Change>& changes) {
   json out = json::array();
-  for (const Change& change : changes) {
+  for (const config::Change& change : changes) {
     out.push_back({{"at", change.at}, {"what", change.what}, {"takes", Word(change.takes)}});
   }
   return out;
@@ -46,18 +46,18 @@
 OpsAnswer Json(int status, const json& value) { return {status, Dump(value), "application/json"}; }
 OpsAnswer No(int status, const std::string& why) { return Json(status, {{"error", why}}); }
 
-int StatusOf(Refusal::Kind kind) {
+int StatusOf(config::Refusal::Kind kind) {
   switch (kind) {
-    case Refusal::kUnsound:
-    case Refusal::kRestart: return 422;
-    case Refusal::kOtherBase:
-    case Refusal::kNothing: return 409;
-    case Refusal::kUnknown: return 404;
+    case config::Refusal::kUnsound:
+    case config::Refusal::kRestart: return 422;
+    case config::Refusal::kOtherBase:
+    case config::Refusal::kNothing: return 409;
+    case config::Refusal::kUnknown: return 404;
   }
   return 422;
 }
 
-OpsAnswer No(const Refusal& refusal) {
+OpsAnswer No(const config::Refusal& refusal) {
   json out = {{"error", refusal.why}};
   if (!refusal.faults.empty()) out["faults"] = ToJson(refusal.faults);
   if (!refusal.changes.empty()) out["changes"] = ToJson(refusal.changes);
@@ -81,7 +81,7 @@
                            RecordFile::Fails fails)
     : path_(std::move(path)), record_(folder, std::move(fails)), trial_timer_(io), hup_timer_(io) {}
 
-Times ConfigKeeper::Now() {
+config::Times ConfigKeeper::Now() {
   auto seconds = [](auto since) { return std::chrono::duration<double>(since).count(); };
   return {seconds(std::chrono::system_clock::now().time_since_epoch()),
           seconds(std::chrono::steady_clock::now().time_since_epoch())};
@@ -92,19 +92,21 @@
   std::ifstream in(path_, std::ios::binary);
   std::stringstream text;
   if (!in) {
-    AddFault(&file.faults, "", "cannot read the configuration " + path_);
+    config::AddFault(&file.faults, "", "cannot read the configuration " + path_);
     return file;
   }
-  if (StampOf(path_).bytes > static_cast<int64_t>(kMostFile)) {  // not even read
-    AddFault(&file.faults, "", "the configuration is longer than " + std::to_string(kMostFile) + " bytes");
+  if (StampOf(path_).bytes > static_cast<int64_t>(config::kMostFile)) {  // not even read
+    config::AddFault(&file.faults, "",
+                     "the configuration is longer than " + std::to_string(config::kMostFile) + " bytes");
     return file;
   }
   text << in.rdbuf();  // nothing at all, for an empty file
-  Document document = ReadDocument(text.str());
+  config::Document document = config::ReadDocument(text.str());
   file.faults = std::move(document.faults);
   if (!document.value.is_object()) return file;
-  Findings found = CheckConfig(document.value, Author::kPlatform, form);
-  for (Fault& fault : found.faults) AddFault(&file.faults, std::move(fault.at), std::move(fault.why));
+  config::Findings found = config::CheckConfig(document.value, config::Author::kPlatform, form);
+  for (config::Fault& fault : found.faults)
+    config::AddFault(&file.faults, std::move(fault.at), std::move(fault.why));
   file.warnings = std::move(found.warnings);
   if (file.faults.empty()) file.document = std::move(document.value);
   return file;
@@ -112,20 +114,20 @@
 
 json ConfigKeeper::Begin() {
   File file = ReadFile(nullptr);
-  Times now = Now();
-  std::optional<State> record = record_.Read(), state;
-  if (record) state = Revisions::Resume(*record, file.document, now);
+  config::Times now = Now();
+  std::optional<config::State> record = record_.Read(), state;
+  if (record) state = config::Revisions::Resume(*record, file.document, now);
   // A record of another version of the program may hold what this one finds unsound.
-  if (state && !CheckConfig(state->Running().document, Author::kPlatform).faults.empty()) {
+  if (state && !config::CheckConfig(state->Running().document, config::Author::kPlatform).faults.empty()) {
     state.reset();
-    if (!file.document.is_null()) state = Revisions::Resume(*record, file.document, now, true);
+    if (!file.document.is_null()) state = config::Revisions::Resume(*record, file.document, now, true);
   }
-  if (!state && file.document.is_null()) throw WireError(OneLine(file.faults));
-  if (!state) state = Revisions::Begin(file.document, now);
+  if (!state && file.document.is_null()) throw WireError(config::OneLine(file.faults));
+  if (!state) state = config::Revisions::Begin(file.document, now);
   json document = state->Running().document;
   document["known"] = file.document.is_null() ? state->known : file.document.value("known", json());
   if (file.document.is_null()) {
-    begin_fault_ = OneLine(file.faults);
+    begin_fault_ = config::OneLine(file.faults);
     std::fprintf(stderr,
                  "STARTED BY THE LAST GOOD CONFIGURATION, revision %llu, since the file is broken: %s\n",
                  static_cast<unsigned long long>(state->running), begin_fault_.c_str());
@@ -145,12 +147,12 @@
   ArmTrial();
 }
 
-void ConfigKeeper::TurnDown(From from, const std::string& why) {
+void ConfigKeeper::TurnDown(config::From from, const std::string& why) {
   revisions_->NoteTurnedDown(from, why, Now());
-  from == From::kFile ? ++counts_.rejected : ++counts_.refused;
+  from == config::From::kFile ? ++counts_.rejected : ++counts_.refused;
 }
 
-std::optional<ConfigKeeper::Failure> ConfigKeeper::Commit(Next next, bool must_keep) {
+std::optional<ConfigKeeper::Failure> ConfigKeeper::Commit(config::Next next, bool must_keep) {
   std::function<void()> commit = [] {};
   if (!next.same) {
     try {
@@ -189,12 +191,12 @@
   }
   if (lock.held) Follow();
   File file = ReadFile(revisions_->form());
-  std::string why = OneLine(file.faults);
+  std::string why = config::OneLine(file.faults);
   if (file.faults.empty()) {
-    Wish wish;
+    config::Wish wish;
     wish.document = std::move(file.document);
     auto answer = revisions_->Propose(wish, Now());
-    if (auto* next = std::get_if<Next>(&answer)) {
+    if (auto* next = std::get_if<config::Next>(&answer)) {
       std::vector<std::string> later = std::move(next->later);
       auto failure = Commit(std::move(*next), false);
       if (!failure) {
@@ -202,7 +204,7 @@
         later_ = std::move(later);
         begin_fault_.clear();
         for (size_t i = 0; i < std::min(kMostLogged, file.warnings.size()); ++i) {
-          std::fprintf(stderr, "warning: %s\n", OneLine({file.warnings[i]}).c_str());
+          std::fprintf(stderr, "warning: %s\n", config::OneLine({file.warnings[i]}).c_str());
         }
         for (const std::string& at : later_) {
           std::fprintf(stderr, "warning: %s stays as it was until a restart\n", at.c_str());
@@ -212,19 +214,19 @@
       }
       why = failure->why;
     } else {
-      why = std::get<Refusal>(answer).why;
+      why = std::get<config::Refusal>(answer).why;
     }
   }
-  TurnDown(From::kFile, why);
+  TurnDown(config::From::kFile, why);
   std::fprintf(stderr, "configuration kept as it was: %s\n", why.c_str());
 }
 
 // What the other process of this gateway has written goes before what this one would do next.
 void ConfigKeeper::Follow() {
   if (!record_.Changed()) return;
-  std::optional<State> other = record_.Read();
+  std::optional<config::State> other = record_.Read();
   if (!other) return;
-  std::optional<Next> next = revisions_->Follow(*other);
+  std::optional<config::Next> next = revisions_->Follow(*other);
   if (!next) {
     unwritten_ = unwritten_ || other->turn < revisions_->state().turn;
     return;
@@ -233,7 +235,8 @@
   if (!next->same) {
     try {
       // What the other one took at its start and this one could only take at its own, it leaves as it is.
-      commit = prepare_(LivePart(revisions_->state().Running().document, next->state.Running().document));
+      commit =
+          prepare_(config::LivePart(revisions_->state().Running().document, next->state.Running().document));
     } catch (const std::exception& bad) {
       TurnDown(next->state.Running().from, bad.what());
       std::fprintf(stderr, "CANNOT FOLLOW the other process to revision %llu: %s\n",
@@ -287,7 +290,7 @@
   if (!left) return;
   if (*left > 0) return ArmTrial();
   uint64_t tried = revisions_->state().running;
-  std::optional<Next> next = revisions_->Due(Now());
+  std::optional<config::Next> next = revisions_->Due(Now());
   std::optional<Failure> failure =
       next ? Commit(std::move(*next), false) : Failure{422, "is not sound any more"};
   if (!failure) {
@@ -298,11 +301,11 @@
     return;
   }
   // What is there runs on, and the trial ends, or it would be tried for ever.
-  TurnDown(From::kReturn, failure->why);
+  TurnDown(config::From::kReturn, failure->why);
   std::fprintf(stderr, "THE WAY BACK from revision %llu is closed, so it stays: %s\n",
                static_cast<unsigned long long>(tried), failure->why.c_str());
   auto stay = revisions_->Confirm(tried);
-  if (auto* kept = std::get_if<Next>(&stay)) Commit(std::move(*kept), false);
+  if (auto* kept = std::get_if<config::Next>(&stay)) Commit(std::move(*kept), false);
 }
 
 void ConfigKeeper::Close() { closed_ = true; }
@@ -315,14 +318,14 @@
   disk_seen_ = stamp;
   disk_turn_ = turn;
   File file = ReadFile(revisions_->form());
-  disk_ = file.document.is_null()                                        ? Disk::kBroken
-          : ContentId(file.document) == revisions_->state().Running().id ? Disk::kSame
-                                                                         : Disk::kDiffers;
+  disk_ = file.document.is_null()                                                ? Disk::kBroken
+          : config::ContentId(file.document) == revisions_->state().Running().id ? Disk::kSame
+                                                                                 : Disk::kDiffers;
   return disk_;
 }
 
 void ConfigKeeper::Figures(const std::function<void(const std::string& name, uint64_t value)>& line) {
-  const State& state = revisions_->state();
+  const config::State& state = revisions_->state();
   line("config_applied", counts_.applied);
   line("config_rejected", counts_.rejected);
   line("config_revision", state.running);
@@ -370,7 +373,7 @@
 }
 
 OpsAnswer ConfigKeeper::Summary() {
-  const State& state = revisions_->state();
+  const config::State& state = revisions_->state();
   json history = json::array();
   for (auto it = state.revisions.rbegin(); it != state.revisions.rend(); ++it) {
     json line = {{"revision", it->number}, {"id", it->id},           {"at", it->at_s},
@@ -379,7 +382,7 @@
     history.push_back(std::move(line));
   }
   json down = json::array();
-  for (const TurnedDown& t : revisions_->turned_down()) {
+  for (const config::TurnedDown& t : revisions_->turned_down()) {
     down.push_back({{"at", t.at_s}, {"from", Word(t.from)}, {"why", t.why}});
   }
   constexpr const char* kDisk[] = {"as it runs", "differs from what runs", "broken"};
@@ -400,20 +403,21 @@
 
 OpsAnswer ConfigKeeper::Kept(std::string_view number) {
   uint64_t wanted = 0;
-  const Revision* found = Number(number, &wanted) ? revisions_->state().Find(wanted) : nullptr;
+  const config::Revision* found = Number(number, &wanted) ? revisions_->state().Find(wanted) : nullptr;
   if (found == nullptr || found->document.is_null()) return No(404, "that revision is not kept");
   return Json(200, found->document);
 }
 
 OpsAnswer ConfigKeeper::Check(const OpsCall& call) {
-  Document read = ReadDocument(call.body);
-  if (!read.faults.empty()) return No({Refusal::kUnsound, OneLine(read.faults), read.faults, {}});
-  Wish wish;
-  wish.from = From::kPut;
+  config::Document read = config::ReadDocument(call.body);
+  if (!read.faults.empty())
+    return No({config::Refusal::kUnsound, config::OneLine(read.faults), read.faults, {}});
+  config::Wish wish;
+  wish.from = config::From::kPut;
   wish.document = std::move(read.value);
   auto answer = revisions_->Propose(wish, Now());
-  if (auto* no = std::get_if<Refusal>(&answer)) return No(*no);
-  const Next& next = std::get<Next>(answer);
+  if (auto* no = std::get_if<config::Refusal>(&answer)) return No(*no);
+  const config::Next& next = std::get<config::Next>(answer);
   if (!next.same) {
     try {
       prepare_(next.state.Running().document);  // and let go of again
@@ -426,29 +430,29 @@
                     {"changes", ToJson(next.changes)}});
 }
 
-OpsAnswer ConfigKeeper::Change(const Wish& wish, bool confirm) {
+OpsAnswer ConfigKeeper::Change(const config::Wish& wish, bool confirm) {
   if (closed_) return No(409, "closing");
   Locked lock(&record_);
   if (!lock.held) return No(503, "the other process is changing it: try again");
   Follow();
   auto answer = confirm ? revisions_->Confirm(*wish.base) : revisions_->Propose(wish, Now());
-  if (auto* no = std::get_if<Refusal>(&answer)) {
+  if (auto* no = std::get_if<config::Refusal>(&answer)) {
     TurnDown(wish.from, no->why);
     return No(*no);
   }
-  Next& next = std::get<Next>(answer);
+  config::Next& next = std::get<config::Next>(answer);
   json out = {{"warnings", ToJson(next.warnings)}, {"changes", ToJson(next.changes)}};
   if (auto failure = Commit(std::move(next), true)) {
     TurnDown(wish.from, failure->why);
     return No(failure->status, failure->why);
   }
-  const State& state = revisions_->state();
+  const config::State& state = revisions_->state();
   out["running"] = state.running;
   if (state.trial) out["trial"] = {{"back_to", state.trial->back_to}, {"left_s", state.trial->limit_s}};
   if (!record_.kept()) out["kept"] = false;
-  uint64_t& count = confirm                   ? counts_.confirmed
-                    : wish.from == From::kPut ? counts_.puts
-                                              : counts_.rolled_back;
+  uint64_t& count = confirm                           ? counts_.confirmed
+                    : wish.from == config::From::kPut ? counts_.puts
+                                                      : counts_.rolled_back;
   ++count;
   std::fprintf(stderr, "operators: %s, revision %llu runs%s\n", confirm ? "confirmed" : Word(wish.from),
                static_cast<unsigned long long>(state.running), state.trial ? " on trial" : "");
@@ -467,23 +471,23 @@
 bool TrialTime(std::string_view query, double* seconds) {
   auto text = Part(query, '&', "confirm_s");
   if (!text) return true;
-  return Number(*text, seconds) && std::isfinite(*seconds) && *seconds > 0 && *seconds <= kMostTrialS;
+  return Number(*text, seconds) && std::isfinite(*seconds) && *seconds > 0 && *seconds <= config::kMostTrialS;
 }
 const std::string kBadTrial = "confirm_s must be a number of seconds, above 0 and at most 86400";
 
 }  // namespace
 
 OpsAnswer ConfigKeeper::Put(const OpsCall& call, std::string_view query) {
-  Wish wish;
-  wish.from = From::kPut;
+  config::Wish wish;
+  wish.from = config::From::kPut;
   if (!Named(query, "base", &wish.base) || !wish.base) {
     return No(400, "name the revision that this was made against: ?base=NUMBER");
   }
   if (!TrialTime(query, &wish.trial_s)) return No(400, kBadTrial);
-  Document read = ReadDocument(call.body);
+  config::Document read = config::ReadDocument(call.body);
   if (!read.faults.empty()) {
-    Refusal no{Refusal::kUnsound, OneLine(read.faults), read.faults, {}};
-    TurnDown(From::kPut, no.why);
+    config::Refusal no{config::Refusal::kUnsound, config::OneLine(read.faults), read.faults, {}};
+    TurnDown(config::From::kPut, no.why);
     return No(no);
   }
   wish.document = std::move(read.value);
@@ -491,8 +495,8 @@
 }
 
 OpsAnswer ConfigKeeper::RollBack(std::string_view query) {
-  Wish wish;
-  wish.from = From::kRollBack;
+  config::Wish wish;
+  wish.from = config::From::kRollBack;
   std::optional<uint64_t> to;
   if (!Named(query, "base", &wish.base) || !Named(query, "to", &to))
     return No(400, "base and to are revisions");
@@ -502,12 +506,12 @@
 }
 
 OpsAnswer ConfigKeeper::Confirm(std::string_view query) {
-  Wish wish;
-  wish.from = From::kPut;
+  config::Wish wish;
+  wish.from = config::From::kPut;
   if (!Named(query, "revision", &wish.base) || !wish.base) {
     return No(400, "name the revision that is confirmed: ?revision=NUMBER");
   }
   return Change(wish, true);
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/config_keeper.h
+++ b/src/net/config_keeper.h
@@ -2,8 +2,8 @@
 // and the clocks. Every change goes the same way: the revisions say what would come next, the gateway
 // prepares it, the record is written, and then, with nothing left that can fail, the gateway and the
 // revisions take it.
-#ifndef IVYGW_NET_CONFIG_KEEPER_H_
-#define IVYGW_NET_CONFIG_KEEPER_H_
+#ifndef LEMONCHUTE_NET_CONFIG_KEEPER_H_
+#define LEMONCHUTE_NET_CONFIG_KEEPER_H_
 
 #include <cstdint>
 #include <functional>
@@ -17,7 +17,7 @@
 #include "net/ops_server.h"
 #include "net/record_file.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 class ConfigKeeper {
  public:
@@ -28,8 +28,8 @@
   ConfigKeeper(asio::io_context& io, std::string path, const std::string& folder,
                RecordFile::Fails fails = {});
 
-  // The document to start with: the file's, or the last good one's. Throws micadock::WireError with all that
-  // is wrong where there is neither.
+  // The document to start with: the file's, or the last good one's. Throws lemonchute::policy::WireError with
+  // all that is wrong where there is neither.
   nlohmann::json Begin();
   // The gateway runs by that document from now on.
   void Started(Prepare prepare);
@@ -44,7 +44,7 @@
  private:
   struct File {
     nlohmann::json document;  // null where it is not sound
-    std::vector<Fault> faults, warnings;
+    std::vector<config::Fault> faults, warnings;
   };
   struct Failure {
     int status = 0;
@@ -52,30 +52,30 @@
   };
   enum class Disk { kSame, kDiffers, kBroken };
 
-  static Times Now();
+  static config::Times Now();
   File ReadFile(const nlohmann::json& form) const;
   // Holds the record's lock while it lives; not `held` where another process has it.
   struct Locked;
   void TakeHup(int tries);
   // Prepares, writes and commits. `must_keep`: only where the record could be written.
-  std::optional<Failure> Commit(Next next, bool must_keep);
+  std::optional<Failure> Commit(config::Next next, bool must_keep);
   void Follow();
   void Return(int tries);
   void ArmTrial();
-  void TurnDown(From from, const std::string& why);
+  void TurnDown(config::From from, const std::string& why);
   Disk OnDisk();
 
   OpsAnswer Summary();
   OpsAnswer Kept(std::string_view number);
   OpsAnswer Check(const OpsCall& call);
-  OpsAnswer Change(const Wish& wish, bool confirm);
+  OpsAnswer Change(const config::Wish& wish, bool confirm);
   OpsAnswer Put(const OpsCall& call, std::string_view query);
   OpsAnswer RollBack(std::string_view query);
   OpsAnswer Confirm(std::string_view query);
 
   const std::string path_;
   RecordFile record_;
-  std::optional<Revisions> revisions_;
+  std::optional<config::Revisions> revisions_;
   Prepare prepare_;
   asio::steady_timer trial_timer_, hup_timer_;
   std::vector<std::string> later_;  // of the file as last taken: what waits for a restart
@@ -92,6 +92,6 @@
   } counts_;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_CONFIG_KEEPER_H_
+#endif  // LEMONCHUTE_NET_CONFIG_KEEPER_H_
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -8,10 +8,10 @@
 #include <cstdio>
 #include <cstring>
 
-namespace ivygw {
+namespace lemonchute::net {
 
-using micadock::CountAnswer;
-using micadock::Result;
+using lemonchute::policy::CountAnswer;
+using lemonchute::policy::Result;
 
 namespace {
 
@@ -312,4 +312,4 @@
   not_before_ = Clock::now() + backoff_;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/counter_client.h
+++ b/src/net/counter_client.h
@@ -1,6 +1,6 @@
 // Calls to the counter over RESP2, pipelined on few connections. Each call ends exactly once.
-#ifndef IVYGW_NET_COUNTER_CLIENT_H_
-#define IVYGW_NET_COUNTER_CLIENT_H_
+#ifndef LEMONCHUTE_NET_COUNTER_CLIENT_H_
+#define LEMONCHUTE_NET_COUNTER_CLIENT_H_
 
 #include <deque>
 #include <functional>
@@ -10,11 +10,11 @@
 #include "balance.h"
 #include "net/backend_pool.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 class CounterClient {
  public:
-  using Done = std::function<void(micadock::CountAnswer)>;
+  using Done = std::function<void(lemonchute::policy::CountAnswer)>;
 
   CounterClient(asio::io_context& io, tcp::endpoint address, double timeout_s, double connect_timeout_s,
                 Done done);
@@ -36,7 +36,7 @@
   };
 
   Connection* Choose();
-  void End(const std::shared_ptr<Pending>& call, micadock::Result result, double total = 0);
+  void End(const std::shared_ptr<Pending>& call, lemonchute::policy::Result result, double total = 0);
   void ArmTimeouts();
   void Lost(Connection* connection, bool failed);
 
@@ -54,6 +54,6 @@
   Clock::time_point not_before_{};
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_COUNTER_CLIENT_H_
+#endif  // LEMONCHUTE_NET_COUNTER_CLIENT_H_
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -1,7 +1,7 @@
 // The figures that the operators' door shows. Each is raised at exactly one place: a request's final end, or
 // the last byte of an attempt.
-#ifndef IVYGW_NET_COUNTERS_H_
-#define IVYGW_NET_COUNTERS_H_
+#ifndef LEMONCHUTE_NET_COUNTERS_H_
+#define LEMONCHUTE_NET_COUNTERS_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 struct Counters {
   struct PerClass {
@@ -42,6 +42,6 @@
   }
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_COUNTERS_H_
+#endif  // LEMONCHUTE_NET_COUNTERS_H_
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -5,10 +5,10 @@
 
 #include "net/config.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
-using micadock::WireError;
+using lemonchute::policy::WireError;
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
@@ -21,7 +21,7 @@
 constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
-  auto it = name.empty() ? names.end() : std::find(names.begin(), names.end(), PlainName(name));
+  auto it = name.empty() ? names.end() : std::find(names.begin(), names.end(), config::PlainName(name));
   return it == names.end() ? kUnnamed : static_cast<int>(it - names.begin());
 }
 
@@ -47,7 +47,7 @@
   return it == ids_.end() ? std::nullopt : std::optional(it->second);
 }
 
-BackendList ParseList(const json& list, const micadock::SiteSettings& site, BackendIds* ids) {
+BackendList ParseList(const json& list, const lemonchute::policy::SiteSettings& site, BackendIds* ids) {
   BackendList out;
   std::vector<std::pair<std::string, Listed>> named;
   try {
@@ -55,18 +55,18 @@
     out.full = list.at("snapshot").get<bool>();
     for (const json& entry : list.at("endpoints")) {
       Listed listed;
-      micadock::Backend& b = listed.backend;
+      lemonchute::policy::Backend& b = listed.backend;
       std::string status = entry.at("status").get<std::string>();
       if (status == "active") {
-        b.state = micadock::BackendState::kReady;
+        b.state = lemonchute::policy::BackendState::kReady;
       } else if (status == "leaving") {
-        b.state = micadock::BackendState::kDraining;
+        b.state = lemonchute::policy::BackendState::kDraining;
       } else if (status == "left") {
-        b.state = micadock::BackendState::kGone;
+        b.state = lemonchute::policy::BackendState::kGone;
       } else {
         throw WireError("unknown status " + status);
       }
-      if (b.state != micadock::BackendState::kGone || entry.contains("address")) {
+      if (b.state != lemonchute::policy::BackendState::kGone || entry.contains("address")) {
         listed.address = ParseAddress("address", entry.at("address").get<std::string>());
       }
       b.kind = Position(site.kinds, entry.value("type", ""));
@@ -93,8 +93,9 @@
 }
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint address,
-                                 std::shared_ptr<const micadock::SiteSettings> site, BackendIds* ids,
-                                 OnList on_list, OnFailed on_failed, int gateways, uint64_t seed)
+                                 std::shared_ptr<const lemonchute::policy::SiteSettings> site,
+                                 BackendIds* ids, OnList on_list, OnFailed on_failed, int gateways,
+                                 uint64_t seed)
     : io_(io),
       address_(address),
       site_(std::move(site)),
@@ -111,7 +112,7 @@
   backoff_most_ = std::max<Clock::duration>(kBackoffMost, gateways * kBackoffEach);
 }
 
-void DiscoveryClient::SetSite(std::shared_ptr<const micadock::SiteSettings> site) {
+void DiscoveryClient::SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site) {
   bool renamed = site->zones != site_->zones || site->kinds != site_->kinds;
   site_ = std::move(site);
   if (renamed) AskAnew();  // what was told before was read by the old names
@@ -237,4 +238,4 @@
   on_failed_();
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -1,6 +1,6 @@
 // Follows discovery: the whole list once, then one watch after another. Turns names into the module's ids.
-#ifndef IVYGW_NET_DISCOVERY_CLIENT_H_
-#define IVYGW_NET_DISCOVERY_CLIENT_H_
+#ifndef LEMONCHUTE_NET_DISCOVERY_CLIENT_H_
+#define LEMONCHUTE_NET_DISCOVERY_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -15,10 +15,10 @@
 #include "net/backend_pool.h"
 #include "wire.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 struct Listed {
-  micadock::Backend backend;
+  lemonchute::policy::Backend backend;
   tcp::endpoint address;
 };
 struct BackendList {
@@ -43,8 +43,9 @@
   std::unordered_map<uint32_t, std::string> names_;
 };
 
-// Throws micadock::WireError on anything that is not a list in discovery's form.
-BackendList ParseList(const nlohmann::json& list, const micadock::SiteSettings& site, BackendIds* ids);
+// Throws lemonchute::policy::WireError on anything that is not a list in discovery's form.
+BackendList ParseList(const nlohmann::json& list, const lemonchute::policy::SiteSettings& site,
+                      BackendIds* ids);
 
 class DiscoveryClient {
  public:
@@ -52,15 +53,15 @@
   using OnFailed = std::function<void()>;
 
   DiscoveryClient(asio::io_context& io, tcp::endpoint address,
-                  std::shared_ptr<const micadock::SiteSettings> site, BackendIds* ids, OnList on_list,
-                  OnFailed on_failed, int gateways, uint64_t seed);
+                  std::shared_ptr<const lemonchute::policy::SiteSettings> site, BackendIds* ids,
+                  OnList on_list, OnFailed on_failed, int gateways, uint64_t seed);
 
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
   // Asks at another address from now on, for the whole list first.
   void Move(const tcp::endpoint& address);
   // Other names of zones and kinds: the whole list is asked for again where they differ.
-  void SetSite(std::shared_ptr<const micadock::SiteSettings> site);
+  void SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site);
   void SetFleet(int gateways);
 
  private:
@@ -74,7 +75,7 @@
 
   asio::io_context& io_;
   tcp::endpoint address_;
-  std::shared_ptr<const micadock::SiteSettings> site_;
+  std::shared_ptr<const lemonchute::policy::SiteSettings> site_;
   BackendIds* ids_;
   OnList on_list_;
   OnFailed on_failed_;
@@ -91,6 +92,6 @@
   bool running_ = false, whole_next_ = true;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_DISCOVERY_CLIENT_H_
+#endif  // LEMONCHUTE_NET_DISCOVERY_CLIENT_H_
--- a/src/net/file_stamp.h
+++ b/src/net/file_stamp.h
@@ -1,7 +1,7 @@
 // Whether a file has changed since it was last looked at, at the price of one system call; and locks that
 // the kernel drops with their holder.
-#ifndef IVYGW_NET_FILE_STAMP_H_
-#define IVYGW_NET_FILE_STAMP_H_
+#ifndef LEMONCHUTE_NET_FILE_STAMP_H_
+#define LEMONCHUTE_NET_FILE_STAMP_H_
 
 #include <fcntl.h>
 #include <sys/stat.h>
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <string>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 // Files are replaced by renaming, so another content is another inode.
 struct FileStamp {
@@ -35,6 +35,6 @@
   return lock;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_FILE_STAMP_H_
+#endif  // LEMONCHUTE_NET_FILE_STAMP_H_
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -6,14 +6,14 @@
 
 #include "net/text.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
-using micadock::Action;
-using micadock::ActionKind;
-using micadock::Effect;
-using micadock::ListKind;
-using micadock::Outcome;
-using micadock::Result;
+using lemonchute::policy::Action;
+using lemonchute::policy::ActionKind;
+using lemonchute::policy::Effect;
+using lemonchute::policy::ListKind;
+using lemonchute::policy::Outcome;
+using lemonchute::policy::Result;
 
 namespace {
 
@@ -85,10 +85,10 @@
   call.status = 400;
   std::string_view target = OriginForm(View(message.target()));
   if (target.empty() || target.front() != '/') return call;
-  micadock::Request& r = call.request;
+  lemonchute::policy::Request& r = call.request;
   std::string_view path = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
-  r.cls = Position(config.site.classes, PlainName(Unescaped(path)));
-  r.plan = Position(config.site.plans, PlainName(View(message["X-Tier"])));
+  r.cls = Position(config.site.classes, config::PlainName(Unescaped(path)));
+  r.plan = Position(config.site.plans, config::PlainName(View(message["X-Tier"])));
   if (r.cls < 0 || r.plan < 0) return call;
   if (View(message["Request-Id"]).empty()) return call;
   std::string cookies = Lines(message, "Cookie", "; ");
@@ -138,7 +138,7 @@
             ready_ = true;
           },
           [this] {
-            Tell([](micadock::Balancer& b, double now, micadock::Actions* out) {
+            Tell([](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
               b.OnList(now, ListKind::kFailed, {}, out);
             });
             ready_ = true;  // by the list as last known
@@ -157,8 +157,8 @@
   if (!config.known.is_null()) {
     try {
       known = ParseList(config.known, config.site, &ids_);
-    } catch (const micadock::WireError& error) {
-      throw micadock::WireError(std::string("setting is unreadable: known: ") + error.what());
+    } catch (const lemonchute::policy::WireError& error) {
+      throw lemonchute::policy::WireError(std::string("setting is unreadable: known: ") + error.what());
     }
   }
   balancer_.emplace(config.settings, config.seed, Now(), &actions_);
@@ -168,7 +168,9 @@
   if (!adopted_) server_.Listen(config.listen);
   ShareLimits();
   if (two_) {
-    Tell([](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnProcesses(now, 2, out); });
+    Tell([](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
+      b.OnProcesses(now, 2, out);
+    });
   }
   // Beside another process connections are taken once they can be served; alone, nobody else would answer.
   if (!two_) BeginTaking();
@@ -181,13 +183,15 @@
 Gateway::~Gateway() = default;
 
 std::unique_ptr<CounterClient> Gateway::NewCounter(const Config& config) {
-  return std::make_unique<CounterClient>(io_, config.counter, config.settings.count_timeout_s,
-                                         config.site.connect_timeout_s,
-                                         [this](const micadock::CountAnswer& answer) { OnCount(answer); });
+  return std::make_unique<CounterClient>(
+      io_, config.counter, config.settings.count_timeout_s, config.site.connect_timeout_s,
+      [this](const lemonchute::policy::CountAnswer& answer) { OnCount(answer); });
 }
 
-void Gateway::OnCount(const micadock::CountAnswer& answer) {
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnCount(now, answer, out); });
+void Gateway::OnCount(const lemonchute::policy::CountAnswer& answer) {
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
+    b.OnCount(now, answer, out);
+  });
 }
 
 // Monotonic, and the same at every gateway as far as the machines' clocks agree when they start.
@@ -281,7 +285,7 @@
   call.request.id = id;
   call.request.left_s = call.timeout_s - margin;
   AddTimer(held.deadline, Due::kGuard, id);
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
     b.OnRequest(now, call.request, out);
   });
 }
@@ -351,7 +355,7 @@
   if (it == held_.end() || it->second.answered || it->second.streaming >= 0) return false;
   it->second.streaming = attempt;
   server_.BeginStream(it->second.connection, headers, length);
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
     b.OnStreamBegun(now, id, attempt, out);
   });
   return true;
@@ -407,7 +411,9 @@
   outcome.true_units = end.true_units;
   outcome.upload_s = end.upload_s;
   outcome.spent = held.spent;
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnOutcome(now, outcome, out); });
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
+    b.OnOutcome(now, outcome, out);
+  });
   reporting_ = 0;
   Forget(id);
 }
@@ -441,7 +447,9 @@
   Answer answer;
   answer.status = held.free || (!held.may_have_run && !held.Out()) ? 503 : 504;
   Finish(id, std::move(answer));
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out_) { b.OnAbandoned(now, id, out_); });
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out_) {
+    b.OnAbandoned(now, id, out_);
+  });
 }
 
 void Gateway::OnClosed(uint64_t connection, bool held) {
@@ -452,22 +460,24 @@
   by_connection_.erase(it);
   held_.at(id).answered = true;
   if (int streaming = held_.at(id).streaming; streaming >= 0) CancelAttempt(id, streaming, 0);
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnAbandoned(now, id, out); });
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
+    b.OnAbandoned(now, id, out);
+  });
   Forget(id);
 }
 
 void Gateway::OnList(const BackendList& list, ListKind kind) {
-  std::vector<micadock::Backend> entries;
+  std::vector<lemonchute::policy::Backend> entries;
   std::vector<uint32_t> named;
   for (const Listed& listed : list.entries) {
     entries.push_back(listed.backend);
     uint32_t id = listed.backend.id;
     switch (listed.backend.state) {
-      case micadock::BackendState::kReady: pool_.Update(id, listed.address); break;
-      case micadock::BackendState::kDraining: pool_.Drain(id); break;
-      case micadock::BackendState::kGone: pool_.Remove(id); break;
+      case lemonchute::policy::BackendState::kReady: pool_.Update(id, listed.address); break;
+      case lemonchute::policy::BackendState::kDraining: pool_.Drain(id); break;
+      case lemonchute::policy::BackendState::kGone: pool_.Remove(id); break;
     }
-    if (listed.backend.state != micadock::BackendState::kGone) named.push_back(id);
+    if (listed.backend.state != lemonchute::policy::BackendState::kGone) named.push_back(id);
   }
   if (kind != ListKind::kDelta) {
     for (uint32_t id : listed_) {  // absent from the whole list: gone
@@ -477,12 +487,14 @@
   } else {
     for (const Listed& listed : list.entries) {
       auto at = std::find(listed_.begin(), listed_.end(), listed.backend.id);
-      bool gone = listed.backend.state == micadock::BackendState::kGone;
+      bool gone = listed.backend.state == lemonchute::policy::BackendState::kGone;
       if (gone && at != listed_.end()) listed_.erase(at);
       if (!gone && at == listed_.end()) listed_.push_back(listed.backend.id);
     }
   }
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) { b.OnList(now, kind, entries, out); });
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
+    b.OnList(now, kind, entries, out);
+  });
 }
 
 void Gateway::AddTimer(Clock::time_point at, Due due, uint64_t tag) {
@@ -508,7 +520,9 @@
         Guard(static_cast<uint32_t>(timer.tag));
         continue;
       }
-      Tell([&](micadock::Balancer& b, double at, micadock::Actions* out) { b.OnTimer(at, timer.tag, out); });
+      Tell([&](lemonchute::policy::Balancer& b, double at, lemonchute::policy::Actions* out) {
+        b.OnTimer(at, timer.tag, out);
+      });
     }
     if (!armed_) ArmTimers();
     CheckShutdown();
@@ -532,7 +546,7 @@
 void Gateway::Commit(Change& change) noexcept {
   config_ = std::move(change.config);
   counters_.classes.swap(change.classes);
-  Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
     b.OnSettings(now, std::move(change.settings), out);
   });
   const auto& site = config_->site;
@@ -564,7 +578,7 @@
     two_ = two;
     std::fprintf(stderr, two ? "another process of this gateway has come\n" : "alone again\n");
     ShareLimits();
-    Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+    Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
       b.OnProcesses(now, two ? 2 : 1, out);
     });
   }
@@ -645,7 +659,7 @@
   auto tell = [this](const std::string& name, bool offline) {
     uint32_t id = ids_.Of(name);
     pool_.SetOffline(id, offline);
-    Tell([&](micadock::Balancer& b, double now, micadock::Actions* out) {
+    Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
       b.OnOffline(now, id, offline, out);
     });
   };
@@ -718,4 +732,4 @@
   if (by_connection_.empty() && server_.Quiet()) io_.stop();
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -1,7 +1,7 @@
 // The only caller of the decision module: turns what happens on sockets into its calls, and its actions into
 // work. Owns request ids, timers and the clock. Decides nothing.
-#ifndef IVYGW_NET_GATEWAY_H_
-#define IVYGW_NET_GATEWAY_H_
+#ifndef LEMONCHUTE_NET_GATEWAY_H_
+#define LEMONCHUTE_NET_GATEWAY_H_
 
 #include <algorithm>
 #include <memory>
@@ -23,12 +23,12 @@
 #include "net/ops_server.h"
 #include "net/sibling.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 // What a client's message says; `status` is 0 where it is sound, else the answer to give.
 struct ClientCall {
   int status = 0;
-  micadock::Request request;
+  lemonchute::policy::Request request;
   double timeout_s = 0;
 };
 ClientCall ReadCall(const ClientMessage& message, const Config& config);
@@ -45,9 +45,9 @@
   // Goes on serving what comes, asks clients to close, and stops the io_context when nothing is held any more
   // or the time for that is over.
   void Shutdown();
-  // All of a change to what a sound document says that can fail: throws micadock::WireError, and then nothing
-  // has changed. The call that it returns, within the same event, makes the change and does not fail. What is
-  // held goes on by the settings that it came under.
+  // All of a change to what a sound document says that can fail: throws lemonchute::policy::WireError, and
+  // then nothing has changed. The call that it returns, within the same event, makes the change and does not
+  // fail. What is held goes on by the settings that it came under.
   std::function<void()> Prepare(const nlohmann::json& document);
 
  private:
@@ -74,7 +74,7 @@
   // What runs after the change, whole and apart from what runs now.
   struct Change {
     std::shared_ptr<const Config> config;
-    micadock::PreparedSettings settings;
+    lemonchute::policy::PreparedSettings settings;
     Counters::Classes classes;
     std::unique_ptr<CounterClient> counter;  // where there was none
   };
@@ -89,11 +89,11 @@
   double Now() const;
   template <typename Call>
   void Tell(Call call);
-  void Act(micadock::Action& action);
+  void Act(lemonchute::policy::Action& action);
   std::unique_ptr<CounterClient> NewCounter(const Config& config);
-  void OnCount(const micadock::CountAnswer& answer);
+  void OnCount(const lemonchute::policy::CountAnswer& answer);
   void Commit(Change& change) noexcept;
-  void SendAttempt(const micadock::Action& action);
+  void SendAttempt(const lemonchute::policy::Action& action);
   void CancelAttempt(uint32_t id, int attempt, uint32_t backend);
   bool OnBegin(uint32_t id, int attempt, const std::string& headers, std::optional<uint64_t> length);
   void OnEnd(uint32_t id, int attempt, uint32_t backend, AttemptEnd end);
@@ -105,7 +105,7 @@
   void OnMessage(uint64_t connection, ClientMessage message, const std::optional<Upload>& upload);
   void PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> to);
   void OnClosed(uint64_t connection, bool held);
-  void OnList(const BackendList& list, micadock::ListKind kind);
+  void OnList(const BackendList& list, lemonchute::policy::ListKind kind);
   void AddTimer(Clock::time_point at, Due due, uint64_t tag);
   void ArmTimers();
   void CheckShutdown();
@@ -151,17 +151,17 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   asio::steady_timer timer_;
   std::optional<Clock::time_point> armed_;
-  micadock::Actions actions_, acting_;
+  lemonchute::policy::Actions actions_, acting_;
   bool ready_ = false, draining_ = false, taking_ = false;
   bool adopted_ = false;  // the clients' socket is shared with other processes
   asio::steady_timer sibling_timer_;
   asio::steady_timer drain_timer_;
   std::optional<Clock::time_point> shutdown_at_;
   asio::steady_timer shutdown_timer_;
-  std::optional<micadock::Balancer> balancer_;
+  std::optional<lemonchute::policy::Balancer> balancer_;
   std::optional<OpsServer> ops_;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_GATEWAY_H_
+#endif  // LEMONCHUTE_NET_GATEWAY_H_
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,6 +1,6 @@
 // What all HTTP connections of the gateway share: sizes, header copying, and one write a message.
-#ifndef IVYGW_NET_HTTP_H_
-#define IVYGW_NET_HTTP_H_
+#ifndef LEMONCHUTE_NET_HTTP_H_
+#define LEMONCHUTE_NET_HTTP_H_
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -110,6 +110,6 @@
   socket.close(ignored);
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_HTTP_H_
+#endif  // LEMONCHUTE_NET_HTTP_H_
--- a/src/net/maintenance.cpp
+++ b/src/net/maintenance.cpp
@@ -6,7 +6,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 using nlohmann::json;
 
@@ -58,4 +58,4 @@
   return true;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/maintenance.h
+++ b/src/net/maintenance.h
@@ -1,14 +1,14 @@
 // Which backends operators have taken out, by name. Kept in a file of the temporary folder, which both
 // processes of an upgrade share.
-#ifndef IVYGW_NET_MAINTENANCE_H_
-#define IVYGW_NET_MAINTENANCE_H_
+#ifndef LEMONCHUTE_NET_MAINTENANCE_H_
+#define LEMONCHUTE_NET_MAINTENANCE_H_
 
 #include <set>
 #include <string>
 
 #include "net/file_stamp.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 class Maintenance {
  public:
@@ -27,6 +27,6 @@
   FileStamp read_;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_MAINTENANCE_H_
+#endif  // LEMONCHUTE_NET_MAINTENANCE_H_
--- a/src/net/ops_server.cpp
+++ b/src/net/ops_server.cpp
@@ -1,6 +1,6 @@
 #include "net/ops_server.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
 constexpr size_t kMostHead = 8192;                         // bytes of a call's head
@@ -142,4 +142,4 @@
   });
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/ops_server.h
+++ b/src/net/ops_server.h
@@ -1,7 +1,7 @@
 // The operators' door: an address of its own, HTTP/1.1, one call a connection. Bounded in connections, bytes
 // and time, so that neither clients nor callers that dribble delay an answer.
-#ifndef IVYGW_NET_OPS_SERVER_H_
-#define IVYGW_NET_OPS_SERVER_H_
+#ifndef LEMONCHUTE_NET_OPS_SERVER_H_
+#define LEMONCHUTE_NET_OPS_SERVER_H_
 
 #include <functional>
 #include <list>
@@ -10,7 +10,7 @@
 
 #include "net/http.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 struct OpsCall {
   std::string method, path, body;
@@ -47,6 +47,6 @@
   std::list<std::shared_ptr<Connection>> connections_;  // longest open first
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_OPS_SERVER_H_
+#endif  // LEMONCHUTE_NET_OPS_SERVER_H_
--- a/src/net/record_file.cpp
+++ b/src/net/record_file.cpp
@@ -9,11 +9,11 @@
 #include <fstream>
 #include <sstream>
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
 // A record is a process's own file of bounded parts; one that is longer is somebody else's.
-constexpr int64_t kMostRecord = 4 * static_cast<int64_t>(kMostFile);
+constexpr int64_t kMostRecord = 4 * static_cast<int64_t>(config::kMostFile);
 
 class Descriptor {
  public:
@@ -64,19 +64,19 @@
   fcntl(lock_, F_OFD_SETLK, &lock);
 }
 
-std::optional<State> RecordFile::Read() {
+std::optional<config::State> RecordFile::Read() {
   if (!kept()) return std::nullopt;
   seen_ = StampOf(path_);
   if (seen_.bytes == 0 || seen_.bytes > kMostRecord) return std::nullopt;
   std::ifstream in(path_, std::ios::binary);
   std::stringstream text;
   if (!in || !(text << in.rdbuf())) return std::nullopt;
-  return ReadRecord(text.str());
+  return config::ReadRecord(text.str());
 }
 
-std::string RecordFile::Write(const State& state) {
+std::string RecordFile::Write(const config::State& state) {
   if (!kept()) return "";
-  const std::string text = WriteRecord(state);
+  const std::string text = config::WriteRecord(state);
   const std::string aside = path_ + ".new";  // one name: whoever holds the lock writes it anew
   int failure = 0;
   auto step = [&](Step which, auto act) {
@@ -106,4 +106,4 @@
   return "";
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/record_file.h
+++ b/src/net/record_file.h
@@ -1,7 +1,7 @@
 // The configuration's record in the folder that a gateway's processes share: written whole or not at all,
 // and by one of them at a time.
-#ifndef IVYGW_NET_RECORD_FILE_H_
-#define IVYGW_NET_RECORD_FILE_H_
+#ifndef LEMONCHUTE_NET_RECORD_FILE_H_
+#define LEMONCHUTE_NET_RECORD_FILE_H_
 
 #include <functional>
 #include <optional>
@@ -10,7 +10,7 @@
 #include "config/revisions.h"
 #include "net/file_stamp.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 
 class RecordFile {
  public:
@@ -29,9 +29,9 @@
   void Unlock();
   bool Changed() const { return kept() && StampOf(path_) != seen_; }
   // None where there is no record, or none of this program's.
-  std::optional<State> Read();
+  std::optional<config::State> Read();
   // Empty once the record holds `state`; else why not, and the one before is untouched.
-  std::string Write(const State& state);
+  std::string Write(const config::State& state);
 
  private:
   std::string path_;
@@ -40,6 +40,6 @@
   Fails fails_;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_RECORD_FILE_H_
+#endif  // LEMONCHUTE_NET_RECORD_FILE_H_
--- a/src/net/sibling.cpp
+++ b/src/net/sibling.cpp
@@ -5,7 +5,7 @@
 
 #include "net/file_stamp.h"
 
-namespace ivygw {
+namespace lemonchute::net {
 namespace {
 
 constexpr off_t kMostProcesses = 8;  // a byte each
@@ -36,4 +36,4 @@
   return fcntl(file_, F_OFD_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
--- a/src/net/sibling.h
+++ b/src/net/sibling.h
@@ -1,11 +1,11 @@
 // Whether another process of this same gateway is alive, as during an upgrade: each holds a lock on one byte
 // of a file in the folder that they share. The kernel drops the lock with its process, however that ends.
-#ifndef IVYGW_NET_SIBLING_H_
-#define IVYGW_NET_SIBLING_H_
+#ifndef LEMONCHUTE_NET_SIBLING_H_
+#define LEMONCHUTE_NET_SIBLING_H_
 
 #include <string>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 class Sibling {
  public:
@@ -23,6 +23,6 @@
   bool holding_ = false;
 };
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_SIBLING_H_
+#endif  // LEMONCHUTE_NET_SIBLING_H_
--- a/src/net/text.h
+++ b/src/net/text.h
@@ -1,6 +1,6 @@
 // Small readers of text that several parts share.
-#ifndef IVYGW_NET_TEXT_H_
-#define IVYGW_NET_TEXT_H_
+#ifndef LEMONCHUTE_NET_TEXT_H_
+#define LEMONCHUTE_NET_TEXT_H_
 
 #include <algorithm>
 #include <charconv>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <type_traits>
 
-namespace ivygw {
+namespace lemonchute::net {
 
 template <typename T>
 bool Number(std::string_view text, T* value, int base = 10) {
@@ -58,6 +58,6 @@
   return out;
 }
 
-}  // namespace ivygw
+}  // namespace lemonchute::net
 
-#endif  // IVYGW_NET_TEXT_H_
+#endif  // LEMONCHUTE_NET_TEXT_H_
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -10,7 +10,7 @@
 #include "balance.h"
 #include "wire.h"
 
-namespace micadock {
+namespace lemonchute::policy {
 namespace {
 
 // False at a clean end of input; throws when it ends inside a frame.
@@ -108,13 +108,13 @@
 };
 
 }  // namespace
-}  // namespace micadock
+}  // namespace lemonchute::policy
 
 int main() {
   try {
-    micadock::Host().Run(stdin, stdout);
+    lemonchute::policy::Host().Run(stdin, stdout);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "micadock_simhost: %s\n", error.what());
+    std::fprintf(stderr, "lemonchute_adapter: %s\n", error.what());
     return 1;
   }
   return 0;
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -7,7 +7,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace micadock {
+namespace lemonchute::policy {
 namespace {
 
 static_assert(sizeof(float) == 4 && sizeof(double) == 8);
@@ -426,4 +426,4 @@
   return s;
 }
 
-}  // namespace micadock
+}  // namespace lemonchute::policy
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,6 +1,6 @@
 // Codec of the bench's wire and parsing of its settings. Holds no decision.
-#ifndef MICADOCK_WIRE_H_
-#define MICADOCK_WIRE_H_
+#ifndef LEMONCHUTE_WIRE_H_
+#define LEMONCHUTE_WIRE_H_
 
 #include <array>
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 #include "balance.h"
 
-namespace micadock {
+namespace lemonchute::policy {
 
 // What is wrong with a frame or a setting, in plain words.
 class WireError : public std::runtime_error {
@@ -97,6 +97,6 @@
 };
 SiteSettings ParseSite(std::string_view text);
 
-}  // namespace micadock
+}  // namespace lemonchute::policy
 
-#endif  // MICADOCK_WIRE_H_
+#endif  // LEMONCHUTE_WIRE_H_
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -7,7 +7,7 @@
 #include <limits>
 #include <map>
 
-namespace micadock {
+namespace lemonchute::policy {
 namespace {
 
 // A site of one plan and three classes; every test names what it changes.
@@ -1166,7 +1166,8 @@
     r.units = 1;
     out.clear();
     b.OnRequest(100.1, r, &out);
-    sent += std::count_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
+    sent +=
+        std::count_if(out.begin(), out.end(), [](const Action& a) { return a.kind == ActionKind::kSend; });
   }
   EXPECT_LT(sent, 10);
 }
@@ -1279,8 +1280,9 @@
   Settings s = Many();
   s.gateways = 3;
   Bench t(s);
-  for (double total : {-5.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
-    t.Tell(12345, total);  // a name nobody asked for
+  for (double total :
+       {-5.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+    t.Tell(12345, total);       // a name nobody asked for
     t.Ask(1, 0, 1.0, 9, 1000);  // more entries than gateways
     const Action* count = t.Got(ActionKind::kCount);
     ASSERT_NE(count, nullptr);
@@ -1325,4 +1327,4 @@
 }
 
 }  // namespace
-}  // namespace micadock
+}  // namespace lemonchute::policy
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -12,7 +12,9 @@
 #include "config/plan.h"
 #include "config/revisions.h"
 
-namespace ivygw {
+namespace lemonchute::config {
+using net::Config, net::Merged, net::MergeSettings, net::ParseConfig;
+
 namespace {
 
 using nlohmann::json;
@@ -624,8 +626,8 @@
 }
 
 // Places in the module's tables.
-micadock::Places All(int n) {
-  micadock::Places all;
+lemonchute::policy::Places All(int n) {
+  lemonchute::policy::Places all;
   for (int i = 0; i < n; ++i)
     all.classes.insert(i), all.plans.insert(i), all.zones.insert(i), all.kinds.insert(i);
   return all;
@@ -669,7 +671,7 @@
     classes[0]["name"] = Numbered("c", i);
     fresh["settings"]["tiers-of-service"][1]["name"] = Numbered("p", i);
     fresh["settings"]["zones"][1] = Numbered("z", i);
-    micadock::Places in_use;  // some of what was there is still referred to
+    lemonchute::policy::Places in_use;  // some of what was there is still referred to
     for (int place = 0; place < 6; ++place) {
       if (random() % 2 == 0)
         in_use.classes.insert(place), in_use.plans.insert(place), in_use.zones.insert(place);
@@ -683,4 +685,4 @@
 }
 
 }  // namespace
-}  // namespace ivygw
+}  // namespace lemonchute::config
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -1,7 +1,7 @@
 // What the socket tests share: a gateway process, and the peers it talks to, on ephemeral loopback ports.
 // Everything waits for events, with limits far above what any of them takes.
-#ifndef IVYGW_TESTS_GATEWAY_RIG_H_
-#define IVYGW_TESTS_GATEWAY_RIG_H_
+#ifndef LEMONCHUTE_TESTS_GATEWAY_RIG_H_
+#define LEMONCHUTE_TESTS_GATEWAY_RIG_H_
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -17,8 +17,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
-#include <fstream>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -322,7 +322,7 @@
 class Folder {
  public:
   Folder() {
-    char path[] = "/tmp/ivygw-folder-XXXXXX";
+    char path[] = "/tmp/lemonchute-folder-XXXXXX";
     EXPECT_NE(mkdtemp(path), nullptr);
     path_ = path;
   }
@@ -393,13 +393,13 @@
 class Process {
  public:
   using Environment = std::map<std::string, std::string>;
-  explicit Process(const json& config, const char* program = IVYGW, rlim_t descriptors = 0,
+  explicit Process(const json& config, const char* program = LEMONCHUTE_GATEWAY, rlim_t descriptors = 0,
                    const Environment& environment = {}, int passed = -1)
       : Process(config.dump(), program, descriptors, environment, passed) {}
   // `passed`: a listening socket that the process inherits as descriptor 4.
   Process(const std::string& config, const char* program, rlim_t descriptors,
           const Environment& environment = {}, int passed = -1) {
-    char path[] = "/tmp/ivygw-test-XXXXXX";
+    char path[] = "/tmp/lemonchute-test-XXXXXX";
     int file = mkstemp(path);
     EXPECT_GE(file, 0);
     path_ = path;
@@ -517,4 +517,4 @@
 
 }  // namespace rig
 
-#endif  // IVYGW_TESTS_GATEWAY_RIG_H_
+#endif  // LEMONCHUTE_TESTS_GATEWAY_RIG_H_
--- a/tests/gateway_site.h
+++ b/tests/gateway_site.h
@@ -1,6 +1,6 @@
 // Whole gateways among peers that behave, and what an operator asks of them.
-#ifndef IVYGW_TESTS_GATEWAY_SITE_H_
-#define IVYGW_TESTS_GATEWAY_SITE_H_
+#ifndef LEMONCHUTE_TESTS_GATEWAY_SITE_H_
+#define LEMONCHUTE_TESTS_GATEWAY_SITE_H_
 
 #include <atomic>
 #include <chrono>
@@ -57,8 +57,8 @@
 
 // A gateway among peers that behave, with the given backends.
 struct Site {
-  explicit Site(const json& entries, json config = {}, const char* program = IVYGW, rlim_t descriptors = 0,
-                const Process::Environment& environment = {}) {
+  explicit Site(const json& entries, json config = {}, const char* program = LEMONCHUTE_GATEWAY,
+                rlim_t descriptors = 0, const Process::Environment& environment = {}) {
     discovery.Set(entries);
     if (!config.is_object()) config = Config(0, 0);
     config["discovery"] = "127.0.0.1:" + std::to_string(discovery.port());
@@ -126,7 +126,7 @@
   ~Upgrade() { close(socket); }
   std::unique_ptr<Process> Start() {
     return std::make_unique<Process>(
-        Config(discovery.port(), counter.port()), IVYGW, 0,
+        Config(discovery.port(), counter.port()), LEMONCHUTE_GATEWAY, 0,
         Process::Environment{{"LB_OPS", "127.0.0.1:0"}, {"TMPDIR", folder.path()}}, socket);
   }
   static void AwaitReady(const Process& process) {
@@ -148,4 +148,4 @@
 
 }  // namespace rig
 
-#endif  // IVYGW_TESTS_GATEWAY_SITE_H_
+#endif  // LEMONCHUTE_TESTS_GATEWAY_SITE_H_
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -96,7 +96,8 @@
     size_t at = request.find(field);
     return Ask(*client, request.replace(at, request.find("\r\n", at) + 2 - at, lines)).status();
   };
-  for (const char* value : {"", "0", "000", "-1", "+5", "1.5", "1e3", "0x10", "ten", "10 20", "10,20", "10ms"}) {
+  for (const char* value :
+       {"", "0", "000", "-1", "+5", "1.5", "1e3", "0x10", "ten", "10 20", "10,20", "10ms"}) {
     EXPECT_EQ(with(field + value + "\r\n"), 400) << value;
   }
   EXPECT_EQ(with(""), 400) << "absent";
@@ -123,7 +124,8 @@
   std::string part = Request("send-lead", 1, 3000, "", "the body");
   std::vector<std::unique_ptr<Wire>> peers;
   auto begun = std::chrono::steady_clock::now();
-  for (std::string sent : {std::string(), std::string("no http"), part.substr(0, 60), part.substr(0, part.size() - 1)}) {
+  for (std::string sent :
+       {std::string(), std::string("no http"), part.substr(0, 60), part.substr(0, part.size() - 1)}) {
     peers.push_back(site.gateway->Connect());
     peers.back()->Write(sent);
   }
@@ -195,7 +197,8 @@
 // An answer that says it is longer than any may be is given up at its header, also where the first bytes of
 // its body come along: nothing of the stated size is kept room for or read.
 TEST(Gateway, GivesUpAnAnswerBeyondTheBodyLimitAtItsHeader) {
-  for (std::string head : {"Content-Length: 3000000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nb2d05e00\r\n"}) {
+  for (std::string head :
+       {"Content-Length: 3000000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nb2d05e00\r\n"}) {
     Event given_up;
     Backend backend([&](const Message&, Wire& wire) {
       wire.Write("HTTP/1.1 200 OK\r\n" + head + "the first bytes of a body");
@@ -346,7 +349,7 @@
 TEST(Gateway, AnswersInTimeForAModuleThatIsSilent) {
   Event given_up;
   Backend backend(Hangs(&given_up));
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW_SILENT);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_SILENT);
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote", 1, 200)).status(), 503);
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("send-lead", 1, 200)).status(), 503);
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("save-scenario", 1, 200)).status(), 504);
@@ -428,13 +431,13 @@
                                         : "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
       }
     });
-    auto site = std::make_shared<const micadock::SiteSettings>();
-    ivygw::BackendIds ids;
+    auto site = std::make_shared<const lemonchute::policy::SiteSettings>();
+    lemonchute::net::BackendIds ids;
     int failed = 0;
     auto began = std::chrono::steady_clock::now();
-    ivygw::DiscoveryClient client(
+    lemonchute::net::DiscoveryClient client(
         io, {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port())}, site,
-        &ids, [](const ivygw::BackendList&) {},
+        &ids, [](const lemonchute::net::BackendList&) {},
         [&] {
           if (++failed == kAsks) io.stop();
         },
@@ -511,7 +514,7 @@
   json config = Config(0, 0);
   config["limits"]["sockets"] = 64;
   for (rlim_t limit : {64, 16}) {  // within its budget, and with less than that
-    Site site(json::array({Entry("s1", backend.port())}), config, IVYGW, limit);
+    Site site(json::array({Entry("s1", backend.port())}), config, LEMONCHUTE_GATEWAY, limit);
     std::vector<std::unique_ptr<Wire>> idle;
     for (int i = 0; i < 60; ++i) idle.push_back(site.gateway->Connect());
     auto client = site.gateway->Connect();
@@ -530,12 +533,13 @@
   missing["settings"]["invariants"].erase("cold-from");
   bad["listen"] = "nowhere";
   list["known"] = {{"index", "x"}};
-  std::vector<std::pair<std::string, std::string>> cases = {{missing.dump(), "/settings/invariants/cold-from"},
-                                                            {bad.dump(), "/listen: "},
-                                                            {list.dump(), "/known"},
-                                                            {"{", "JSON"}};
+  std::vector<std::pair<std::string, std::string>> cases = {
+      {missing.dump(), "/settings/invariants/cold-from"},
+      {bad.dump(), "/listen: "},
+      {list.dump(), "/known"},
+      {"{", "JSON"}};
   for (const auto& [text, word] : cases) {
-    Process gateway(text, IVYGW, 0);
+    Process gateway(text, LEMONCHUTE_GATEWAY, 0);
     EXPECT_NE(gateway.Exit(), 0);
     EXPECT_NE(gateway.line.find(word), std::string::npos) << gateway.line;
     EXPECT_EQ(gateway.rest, "") << "one line";
@@ -544,7 +548,7 @@
 
 TEST(Ops, AnswersItsCallsAndRefusesOthers) {
   Backend backend(Says(Ok("x")));
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   EXPECT_EQ(Call(ops, "GET", "/control/ready").status(), 200);
   EXPECT_EQ(Call(ops, "GET", "/control/nothing").status(), 404);
@@ -562,7 +566,7 @@
 
 // Callers that hold a connection without a whole call give way to one that has something to say.
 TEST(Ops, AnswersBesideCallersThatDribble) {
-  Site site(json::array(), {}, IVYGW, 0, kOps);
+  Site site(json::array(), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   std::vector<std::unique_ptr<Wire>> callers;
   for (int i = 0; i < 100; ++i) {
@@ -580,7 +584,7 @@
     if (++seen == 3) held.Add(), go.Wait();
     return seen == 2 ? "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n" : Ok("x");
   });
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto client = site.gateway->Connect();
   EXPECT_EQ(Figure(ops, "ok.send-lead"), 0);
@@ -619,7 +623,7 @@
   json entries = json::array({Entry("s 1", one.port())});
   auto ask = [](Site& site) { return Ask(*site.gateway->Connect(), Request("quote")); };
   {
-    Site site(entries, {}, IVYGW, 0, environment);
+    Site site(entries, {}, LEMONCHUTE_GATEWAY, 0, environment);
     EXPECT_EQ(ask(site).body, "one");
     for (int i = 0; i < 2; ++i) {
       EXPECT_EQ(Call(site.gateway->ops_port, "PUT", "/control/backends/s%201/offline").status(), 200);
@@ -631,7 +635,7 @@
     EXPECT_TRUE(site.discovery.Told());
     EXPECT_EQ(ask(site).status(), 503);
   }
-  Site site(entries, {}, IVYGW, 0, environment);
+  Site site(entries, {}, LEMONCHUTE_GATEWAY, 0, environment);
   EXPECT_EQ(ask(site).status(), 503);
   EXPECT_EQ(Call(site.gateway->ops_port, "PUT", "/control/backends/s%201/online").status(), 200);
   EXPECT_EQ(Figure(site.gateway->ops_port, "pool_ejected"), 0);
@@ -647,7 +651,7 @@
   Backend backend(Says(Ok("x")));
   Process::Environment environment = kOps;
   environment["TMPDIR"] = folder.path();
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, environment);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, environment);
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
   std::filesystem::remove_all(folder.path());
   EXPECT_EQ(Call(site.gateway->ops_port, "PUT", "/control/backends/s1/offline").status(), 500);
@@ -657,7 +661,7 @@
 // Drained: not ready at once, goes on serving, then lets go of clients' connections, and comes back.
 TEST(Ops, DrainsAndComesBack) {
   Backend backend(Says(Ok("x")));
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto idle = site.gateway->Connect(), client = site.gateway->Connect();
   EXPECT_EQ(Ask(*idle, kReady).status(), 200);
@@ -675,8 +679,8 @@
   EXPECT_EQ(Ask(*client, Request("quote")).Header("Connection"), "");
 }
 
-// A replaced file counts as a whole: classes come and go and change their effect, and what is held goes on as it
-// came.
+// A replaced file counts as a whole: classes come and go and change their effect, and what is held goes on as
+// it came.
 TEST(Reload, TakesClassesAndRulesForWhatComesAfter) {
   Event held, go;
   std::atomic<bool> fails{false};
@@ -684,7 +688,7 @@
     if (m.body == "wait") held.Add(), go.Wait();
     return fails || m.body == "wait" ? "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n" : Ok("x");
   });
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto early = site.gateway->Connect(), client = site.gateway->Connect();
   EXPECT_EQ(Ask(*client, Fresh("send-lead")).status(), 200);
@@ -712,7 +716,7 @@
 
 TEST(Reload, TakesNothingFromABrokenFile) {
   Backend backend(Says(Ok("x")));
-  Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
   json good = Config(1, 1);  // addresses where nothing is
   good["settings"]["request-classes"][2]["name"] = "send-note";
   std::vector<std::string> files = {"", good.dump().substr(0, good.dump().size() / 2)};
@@ -793,7 +797,7 @@
       wire.Write(chunks ? Chunks(body.substr(half), 70000) + "0\r\nX-End: 1\r\n\r\n" : body.substr(half));
       return std::string();
     });
-    Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+    Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
     auto client = site.gateway->Connect();
     client->Write(Request("quote"));
     std::string head = client->Until("\r\n\r\n");
@@ -826,7 +830,7 @@
                          : "Content-Length: 200000\r\n\r\n" + body));
       return std::string();
     });
-    Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+    Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
     auto client = site.gateway->Connect();
     client->Write(Request("quote"));
     EXPECT_NE(client->Until("\r\n\r\n"), "");
@@ -892,7 +896,8 @@
   json config = Config(0, 0);
   config["limits"]["memory_mb"] = 1;
   json entries = json::array();
-  for (int i = 0; i < 8; ++i) entries.push_back(Entry(std::string("s").append(std::to_string(i)), backend.port()));
+  for (int i = 0; i < 8; ++i)
+    entries.push_back(Entry(std::string("s").append(std::to_string(i)), backend.port()));
   Site site(entries, config);
   std::vector<std::unique_ptr<Wire>> clients;
   for (int i = 0; i < kClients; ++i) clients.push_back(site.gateway->Connect());
@@ -927,7 +932,7 @@
       done.Add();
       wire.Ended();
     });
-    Site site(json::array({Entry("s1", backend.port())}), {}, IVYGW, 0, kOps);
+    Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
     auto client = site.gateway->Connect();
     client->Write(Request("send-lead", 1, 3000,
                           std::string("Expect: 100-Continue\r\n") +
@@ -946,7 +951,8 @@
   }
 }
 
-// A body that has gone out in part is not held, so it is not sent again; it has not run, so it is refused at once.
+// A body that has gone out in part is not held, so it is not sent again; it has not run, so it is refused at
+// once.
 TEST(Stream, NeverSendsABodyAgainThatIsNotHeld) {
   Server backend([](Wire& wire) { wire.Until(100000); });
   Site site(json::array({Entry("s1", backend.port()), Entry("s2", backend.port())}));
@@ -966,7 +972,8 @@
   std::string chunked = "Transfer-Encoding: chunked\r\n";
   for (std::string framing :
        {"Content-Length: 4\r\n" + chunked, chunked + "Content-Length: 4\r\n", chunked + chunked,
-        std::string("Transfer-Encoding: gzip, chunked\r\n"), std::string("Transfer-Encoding: chunked, identity\r\n"),
+        std::string("Transfer-Encoding: gzip, chunked\r\n"),
+        std::string("Transfer-Encoding: chunked, identity\r\n"),
         std::string("Content-Length: 4\r\nContent-Length: 5\r\n"), std::string("Content-Length: +4\r\n"),
         std::string("Content-Length : 4\r\n"), std::string("Transfer-Encoding: xchunked\r\n")}) {
     auto client = site.gateway->Connect();
@@ -996,7 +1003,8 @@
   EXPECT_EQ(Ask(*early, Request("quote")).status(), 200) << "beside the next one it serves on";
   old->Signal(SIGTERM);
   Message answer;
-  for (int i = 0; i < 3000 && answer.Header("Connection") != "close"; ++i) answer = Ask(*early, Fresh("quote"));
+  for (int i = 0; i < 3000 && answer.Header("Connection") != "close"; ++i)
+    answer = Ask(*early, Fresh("quote"));
   EXPECT_EQ(answer.status(), 200);
   for (int i = 0; i < 50; ++i) EXPECT_EQ(Ask(*next->Connect(), Fresh("quote")).status(), 200) << i;
   upgrade.go.Add();
@@ -1032,24 +1040,26 @@
 TEST(Sibling, IsSeenWhileItLives) {
   Folder folder;
   std::ofstream(folder.path() + "/lb-processes") << "left behind";
-  ivygw::Sibling one(folder.path());
+  lemonchute::net::Sibling one(folder.path());
   EXPECT_FALSE(one.Alive());
   {
-    ivygw::Sibling two(folder.path());
+    lemonchute::net::Sibling two(folder.path());
     EXPECT_TRUE(one.Alive());
     EXPECT_TRUE(two.Alive());
   }
   EXPECT_FALSE(one.Alive());
-  EXPECT_FALSE(ivygw::Sibling("").Alive());
+  EXPECT_FALSE(lemonchute::net::Sibling("").Alive());
 }
 
 // Names of one hash get ids of their own, the same whatever order they come in.
 TEST(BackendIds, TellsNamesOfOneHashApart) {
-  ivygw::BackendIds one([](std::string_view) { return 7u; }), two([](std::string_view) { return 7u; });
-  micadock::SiteSettings site;
+  lemonchute::net::BackendIds one([](std::string_view) { return 7u; }),
+      two([](std::string_view) { return 7u; });
+  lemonchute::policy::SiteSettings site;
   json ab = {{"index", 1}, {"snapshot", true}, {"endpoints", {Entry("a", 1), Entry("b", 2)}}};
   json ba = {{"index", 1}, {"snapshot", true}, {"endpoints", {Entry("b", 2), Entry("a", 1)}}};
-  auto first = ivygw::ParseList(ab, site, &one), second = ivygw::ParseList(ba, site, &two);
+  auto first = lemonchute::net::ParseList(ab, site, &one),
+       second = lemonchute::net::ParseList(ba, site, &two);
   EXPECT_NE(first.entries[0].backend.id, first.entries[1].backend.id);
   EXPECT_EQ(first.entries[0].backend.id, second.entries[1].backend.id);
   EXPECT_EQ(first.entries[1].backend.id, second.entries[0].backend.id);
@@ -1059,15 +1069,15 @@
 struct Calls {
   Calls(int port, double timeout_s)
       : client(io, {boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, timeout_s, 5,
-               [this](micadock::CountAnswer a) { answers.push_back(a); }) {}
+               [this](lemonchute::policy::CountAnswer a) { answers.push_back(a); }) {}
   void Until(const std::function<bool()>& done) {
     auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kLimitS);
     while (!done() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
     EXPECT_TRUE(done());
   }
   boost::asio::io_context io;
-  std::vector<micadock::CountAnswer> answers;
-  ivygw::CounterClient client;
+  std::vector<lemonchute::policy::CountAnswer> answers;
+  lemonchute::net::CounterClient client;
 };
 
 // An answer past its call's time-out is matched to that call, not to the next one on the connection.
@@ -1080,12 +1090,12 @@
   Calls calls(counter.port(), 0.5);
   calls.client.Call(11, 1, 5);
   calls.Until([&] { return calls.answers.size() == 1; });
-  EXPECT_EQ(calls.answers[0].result, micadock::Result::kTimeout) << "it may have been added";
+  EXPECT_EQ(calls.answers[0].result, lemonchute::policy::Result::kTimeout) << "it may have been added";
   go.Add();
   for (int i = 0; i < 20; ++i) {
     calls.client.Call(20 + i, 2 + i, 5);
     calls.Until([&] { return calls.answers.size() == 2 + static_cast<size_t>(i); });
-    if (calls.answers.back().result != micadock::Result::kOk) continue;
+    if (calls.answers.back().result != lemonchute::policy::Result::kOk) continue;
     EXPECT_EQ(calls.answers.back().name, 20u + i);
     EXPECT_EQ(calls.answers.back().total, 2.0 + i);
   }
@@ -1096,18 +1106,18 @@
   Calls turned_away(busy.port(), 30);
   turned_away.client.Call(1, 1, 5);
   turned_away.Until([&] { return turned_away.answers.size() == 1; });
-  EXPECT_EQ(turned_away.answers[0].result, micadock::Result::kFull);
+  EXPECT_EQ(turned_away.answers[0].result, lemonchute::policy::Result::kFull);
 
   Calls refused(DeadPort(), 30);
   for (int i = 0; i < 200; ++i) refused.client.Call(i, 1, 5);
   refused.Until([&] { return refused.answers.size() == 200; });
-  for (const auto& a : refused.answers) EXPECT_EQ(a.result, micadock::Result::kConnectFailed);
+  for (const auto& a : refused.answers) EXPECT_EQ(a.result, lemonchute::policy::Result::kConnectFailed);
 
   Counter broken([](const std::string&, double) { return std::string("?\r\n"); });
   Calls broke(broken.port(), 30);
   broke.client.Call(1, 1, 5);
   broke.Until([&] { return broke.answers.size() == 1; });
-  EXPECT_EQ(broke.answers[0].result, micadock::Result::kTimeout);
+  EXPECT_EQ(broke.answers[0].result, lemonchute::policy::Result::kTimeout);
 }
 
 // An unreadable answer ends its connection, not the dealings with a counter that has answered on it before.
@@ -1118,7 +1128,9 @@
   for (size_t i = 0; i < 20; ++i) {
     calls.client.Call(i, 1, 5);
     calls.Until([&] { return calls.answers.size() == i + 1; });
-    EXPECT_EQ(calls.answers[i].result, i % 2 == 0 ? micadock::Result::kOk : micadock::Result::kTimeout) << i;
+    EXPECT_EQ(calls.answers[i].result,
+              i % 2 == 0 ? lemonchute::policy::Result::kOk : lemonchute::policy::Result::kTimeout)
+        << i;
   }
 }
 
@@ -1135,11 +1147,11 @@
   silent = false;
   uint64_t name = 10000;
   calls.Until([&] {
-    if (calls.answers.back().result == micadock::Result::kOk) return true;
+    if (calls.answers.back().result == lemonchute::policy::Result::kOk) return true;
     calls.client.Call(++name, 1, 5);
     size_t before = calls.answers.size();
     calls.Until([&] { return calls.answers.size() > before; });
-    return calls.answers.back().result == micadock::Result::kOk;
+    return calls.answers.back().result == lemonchute::policy::Result::kOk;
   });
 }
 
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 using namespace rig;  // NOLINT
-using ivygw::ConfigKeeper;
-using ivygw::RecordFile;
+using lemonchute::net::ConfigKeeper;
+using lemonchute::net::RecordFile;
 
 json Sound(int tries = 6) {
   json config = Config(1, 1);
@@ -44,15 +44,16 @@
     if (!file.is_null()) Write(path, file.dump());
     runs = keeper.Begin();
     keeper.Started([this](const json& document) -> std::function<void()> {
-      if (refuses) throw micadock::WireError("no room");
+      if (refuses) throw lemonchute::policy::WireError("no room");
       ++prepared;
       return [this, document] { runs = document; };
     });
   }
-  ivygw::OpsAnswer Call(const std::string& method, const std::string& target, const json& body = nullptr) {
+  lemonchute::net::OpsAnswer Call(const std::string& method, const std::string& target,
+                                  const json& body = nullptr) {
     auto answer =
         keeper.OnCall({method, "/control/config" + target, body.is_null() ? "" : body.dump(), true});
-    return answer ? *answer : ivygw::OpsAnswer{404, "", ""};
+    return answer ? *answer : lemonchute::net::OpsAnswer{404, "", ""};
   }
   json Summary() { return json::parse(Call("GET", "").body); }
   long Figure(const std::string& name) {
@@ -142,7 +143,7 @@
       {"GET", "/check", nullptr, 405, "use"},
       {"GET", "/nothing", nullptr, 404, ""}};
   for (const auto& [method, target, body, status, word] : calls) {
-    ivygw::OpsAnswer answer = one.Call(method, target, body);
+    lemonchute::net::OpsAnswer answer = one.Call(method, target, body);
     EXPECT_EQ(answer.status, status) << method << target << answer.body;
     EXPECT_NE(answer.body.find(word), std::string::npos) << target << answer.body;
     EXPECT_EQ(one.Tries(), 6) << target;
@@ -157,7 +158,7 @@
   Folder folder;
   Alone one(folder);
   const auto before = Contents(folder.path());
-  ivygw::OpsAnswer answer = one.Call("POST", "/check", Sound(5));
+  lemonchute::net::OpsAnswer answer = one.Call("POST", "/check", Sound(5));
   EXPECT_EQ(answer.status, 200) << answer.body;
   EXPECT_EQ(
       json::parse(answer.body)["changes"],
@@ -181,7 +182,7 @@
       const auto before = Contents(folder.path());
       const json summary = one.Summary();
       fails = true;
-      ivygw::OpsAnswer answer = one.Call("PUT", "?base=1", Sound(5));
+      lemonchute::net::OpsAnswer answer = one.Call("PUT", "?base=1", Sound(5));
       EXPECT_EQ(answer.status, 507);
       EXPECT_NE(answer.body.find(std::strerror(error)), std::string::npos) << answer.body;
       EXPECT_EQ(one.Tries(), 6);
@@ -284,7 +285,7 @@
   for (const char* record : {"", "{}", "not a record\n"}) {
     Folder folder;
     Write(folder.path() + "/lb-config.json", record);
-    EXPECT_THROW(Alone(folder, nullptr), micadock::WireError);
+    EXPECT_THROW(Alone(folder, nullptr), lemonchute::policy::WireError);
     Alone one(folder);
     EXPECT_EQ(one.Summary()["running"], 1) << "a file alone is enough";
   }
@@ -383,7 +384,7 @@
 
 TEST(Door, TakesBodiesOfBoundedSizeAndSaysWhatItMisses) {
   Backend backend(Says(Ok("x")));
-  Site site(json::array({Entry("s1", backend.port())}), ToStart(), IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), ToStart(), LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto status = [&](const std::string& text) {
     auto caller = Wire::To(ops);
@@ -423,7 +424,7 @@
   Backend near(Says(Ok("near"))), far(Says(Ok("far")));
   json entries = json::array({Entry("s1", near.port()), Entry("s2", far.port())});
   entries[1]["zone"] = "c";
-  Site site(entries, ToStart(), IVYGW, 0, kOps);
+  Site site(entries, ToStart(), LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto client = site.gateway->Connect();
   EXPECT_EQ(Ask(*client, Request("quote")).status(), 200);
@@ -460,7 +461,7 @@
   for (const char* name : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"}) {
     entries.push_back(Entry(name, backend.port()));
   }
-  Site site(entries, config, IVYGW, 0, kOps);
+  Site site(entries, config, LEMONCHUTE_GATEWAY, 0, kOps);
   std::vector<std::unique_ptr<Wire>> clients;
   auto hold = [&](int held_then) {
     clients.push_back(site.gateway->Connect());
@@ -486,8 +487,8 @@
   Discovery discovery;
   discovery.Set(json::array({Entry("s1", backend.port())}));
   json config = Config(discovery.port(), 1);
-  { Process first(config, IVYGW, 0, environment); }
-  Process gateway(std::string("{\"name\": \"n0\", "), IVYGW, 0, environment);
+  { Process first(config, LEMONCHUTE_GATEWAY, 0, environment); }
+  Process gateway(std::string("{\"name\": \"n0\", "), LEMONCHUTE_GATEWAY, 0, environment);
   ASSERT_NE(gateway.port, 0) << gateway.line;
   EXPECT_NE(gateway.earlier.find("LAST GOOD CONFIGURATION"), std::string::npos) << gateway.earlier;
   Upgrade::AwaitReady(gateway);
@@ -500,7 +501,8 @@
   std::string path = folder.path() + "/file";
   auto check = [&](const std::string& text) {
     Write(path, text);
-    std::string command = std::string(IVYGW) + " --check " + path + " > " + folder.path() + "/out 2>&1";
+    std::string command =
+        std::string(LEMONCHUTE_GATEWAY) + " --check " + path + " > " + folder.path() + "/out 2>&1";
     int status = std::system(command.c_str());
     std::ifstream in(folder.path() + "/out");
     return std::pair(WEXITSTATUS(status), std::string(std::istreambuf_iterator<char>(in), {}));
@@ -514,7 +516,7 @@
   EXPECT_NE(out.find("fault: /listen: "), std::string::npos) << out;
   EXPECT_NE(out.find("fault: /settings/request-classes/0/aim-s: "), std::string::npos) << out;
   EXPECT_EQ(check("{").first, 1);
-  std::string missing = std::string(IVYGW) + " --check " + folder.path() + "/none 2>/dev/null";
+  std::string missing = std::string(LEMONCHUTE_GATEWAY) + " --check " + folder.path() + "/none 2>/dev/null";
   EXPECT_EQ(WEXITSTATUS(std::system(missing.c_str())), 2);
 }
 
@@ -525,7 +527,7 @@
     if (m.body == "wait") held.Add(), go.Wait();
     return Ok("x");
   });
-  Site site(json::array({Entry("s1", backend.port())}), ToStart(), IVYGW, 0, kOps);
+  Site site(json::array({Entry("s1", backend.port())}), ToStart(), LEMONCHUTE_GATEWAY, 0, kOps);
   int ops = site.gateway->ops_port;
   auto waiting = site.gateway->Connect(), client = site.gateway->Connect();
   EXPECT_EQ(Call(ops, "PUT", "/control/out-of-service").status(), 200);
@@ -588,7 +590,7 @@
     json& plan = first["settings"]["tiers-of-service"][0];
     plan["units-per-s"] = 1e6;
     plan["store-size"] = 1e6;
-    Site site(json::array({Entry("s1", backend.port())}), first, IVYGW, 0, environment);
+    Site site(json::array({Entry("s1", backend.port())}), first, LEMONCHUTE_GATEWAY, 0, environment);
     int ops = site.gateway->ops_port;
     std::atomic<bool> done{false};
     std::atomic<int> ok{0}, other{0}, wrong{0};
@@ -663,7 +665,7 @@
   Folder folder;
   Process::Environment environment = kOps;
   environment["TMPDIR"] = folder.path();
-  Site site(json::array({Entry("s1", backend.port())}), ToStart(), IVYGW, 0, environment);
+  Site site(json::array({Entry("s1", backend.port())}), ToStart(), LEMONCHUTE_GATEWAY, 0, environment);
   int ops = site.gateway->ops_port;
   std::atomic<bool> done{false};
   std::thread load([&] {
@@ -693,7 +695,7 @@
 #endif
   EXPECT_LE(site.gateway->Descriptors(), descriptors + 2);
   EXPECT_LE(Call(ops, "GET", "/control/counters").body.size(), 8192u);
-  EXPECT_EQ(Read(ops)["history"].size(), ivygw::kMostRevisions);
+  EXPECT_EQ(Read(ops)["history"].size(), lemonchute::config::kMostRevisions);
 }
 
 }  // namespace
--- a/tests/silent_balancer.cpp
+++ b/tests/silent_balancer.cpp
@@ -2,7 +2,7 @@
 // requests are sent to the backend listed last, once.
 #include "balance.h"
 
-namespace micadock {
+namespace lemonchute::policy {
 
 class Balancer::Impl {
  public:
@@ -35,4 +35,4 @@
 int Balancer::Avoided(double) const { return 0; }
 void Balancer::OnCount(double, const CountAnswer&, Actions*) {}
 
-}  // namespace micadock
+}  // namespace lemonchute::policy
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -9,7 +9,7 @@
 #include <cstring>
 #include <string>
 
-namespace micadock {
+namespace lemonchute::policy {
 namespace {
 
 std::string Hex(const char* text) {
@@ -237,12 +237,12 @@
 }
 
 int RunHost(const std::string& input, std::string* errors) {
-  std::string base = testing::TempDir() + "micadock_" + std::to_string(getpid());
+  std::string base = testing::TempDir() + "lemonchute_" + std::to_string(getpid());
   std::FILE* f = std::fopen((base + ".in").c_str(), "wb");
   std::fwrite(input.data(), 1, input.size(), f);
   std::fclose(f);
   std::string command =
-      std::string(MICADOCK_SIMHOST) + " < " + base + ".in > " + base + ".out 2> " + base + ".err";
+      std::string(LEMONCHUTE_ADAPTER) + " < " + base + ".in > " + base + ".out 2> " + base + ".err";
   int status = std::system(command.c_str());
   errors->assign(4096, '\0');
   f = std::fopen((base + ".err").c_str(), "rb");
@@ -267,4 +267,4 @@
 }
 
 }  // namespace
-}  // namespace micadock
+}  // namespace lemonchute::policy
