Lab: faults on every path and process, one history of the fleet, and seven rules on it

Change: model/paths, each direction of each path with cuts, black holes, resets, trickles, delay, loss, duplicates and reordering, in virtual time as on sockets. Processes are starved in slices, lose power together and come back in an order, claim another's number; a state folder outlives them and is cut, flipped, aged, swapped, lost, made unreadable or read-only, or finds no room. A history of facts, ordered by the lab's clock, with what gateways say in their logs, and seven rules as pure functions over it.

Seen and corrected on the way: a request that a cut held back reached its backend after the final answer, which the judge took for a late attempt; a message now counts from its first byte. A stopped gateway was blamed for answers in virtual time.

A relay for each pair of gateways was the way not taken.

--- /dev/null
+++ b/lab/judge/history.h
@@ -0,0 +1,73 @@
+// Owns the history of the whole fleet: what the lab did and saw, and what each gateway said of itself, as
+// facts in order of the lab's clock. Nothing here knows how a day was played.
+#ifndef LEMONCHUTE_LAB_JUDGE_HISTORY_H_
+#define LEMONCHUTE_LAB_JUDGE_HISTORY_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "model/day.h"
+
+namespace lemonchute::lab {
+
+enum class What {
+  // The lab's own doing.
+  kStarts,  // a process
+  kEnds,
+  kStops,
+  kGoesOn,
+  kFault,  // something begins, or ends, that the fleet has to bear; the subject says what
+  kHeal,
+  // What others saw.
+  kDatagram,  // sent by a gateway: amount is its bytes, the subject its receiver
+  kHeard,     // arrived at a gateway; the subject is its sender
+  kAsked,     // a request reached a gateway; a final answer is due by `until`
+  kAnswered,  // one final answer to it
+  kGone,      // its client has left or was never heard: nothing is owed any more
+  kUses,      // amount of the subject was used, as its other end saw it
+  // What gateways say, and the settings with them.
+  kWhole,    // all together may hold `amount` of the subject, or use it at `rate` a second with that burst
+  kHolds,    // this process may use `amount` of it until then, in place of what it held before
+  kDrops,    // it holds none of it any more
+  kRevoked,  // it was told that what it holds is taken back
+  kOwns,     // it acts alone for the subject until then
+  kYields,
+  kView,    // the digest of who it believes is there
+  kKept,    // version `amount` of the subject is on its disk
+  kTrusts,  // it goes on from that version of the subject
+};
+const char* Name(What what);
+
+struct Fact {
+  Micros at = 0;
+  What what = What::kFault;
+  int gateway = -1;
+  int64_t process = 0;  // tells the processes of one gateway apart
+  std::string subject;
+  double amount = 0, rate = 0;
+  Micros until = kNever;
+};
+
+class History {
+ public:
+  void Add(Fact fact) { facts_.push_back(std::move(fact)); }
+  // Orders what was added; of one moment, in the order in which it was added.
+  void Order();
+  const std::vector<Fact>& facts() const { return facts_; }
+  // One line of JSON a fact.
+  std::string Lines() const;
+
+ private:
+  std::vector<Fact> facts_;
+};
+
+// A line of a gateway's log that speaks to the history: `fleet at_us=N pid=N what=holds subject=cold/s-1
+// amount=2 rate=0 until_us=N`, times by the monotonic clock. None where it is another line; `fault` where it
+// has the word but can't be read.
+std::optional<Fact> ReadSaying(std::string_view line, int gateway, Micros clock_at_start, std::string* fault);
+
+}  // namespace lemonchute::lab
+
+#endif  // LEMONCHUTE_LAB_JUDGE_HISTORY_H_
--- /dev/null
+++ b/lab/judge/rules/owner.cpp
@@ -0,0 +1,54 @@
+// An owner's time ends when it yields, when its term is over, or with its process where the term has no end.
+#include <algorithm>
+#include <map>
+
+#include "judge/rules.h"
+
+namespace lemonchute::lab {
+
+std::vector<Finding> OneOwner(const History& history, const Bounds& bounds) {
+  struct Term {
+    int gateway = 0;
+    int64_t process = 0;
+    Micros from = 0, to = kNever;
+    bool endless = false;
+  };
+  std::map<std::string, std::vector<Term>> terms;
+  auto close = [](std::vector<Term>& all, const Fact& fact, bool endless_only) {
+    for (Term& term : all) {
+      if (term.gateway == fact.gateway && term.process == fact.process && (!endless_only || term.endless))
+        term.to = std::min(term.to, fact.at);
+    }
+  };
+  for (const Fact& fact : history.facts()) {
+    if (fact.what == What::kOwns || fact.what == What::kYields) close(terms[fact.subject], fact, false);
+    if (fact.what == What::kOwns) {
+      terms[fact.subject].push_back(
+          {fact.gateway, fact.process, fact.at, std::min(fact.until, bounds.end), fact.until == kNever});
+    }
+    if (fact.what == What::kEnds) {
+      for (auto& [subject, all] : terms) close(all, fact, true);
+    }
+  }
+  std::vector<Finding> found;
+  for (const auto& [subject, all] : terms) {
+    for (size_t i = 1; i < all.size(); ++i) {
+      const Term& b = all[i];
+      for (size_t j = 0; j < i; ++j) {
+        const Term& a = all[j];
+        Micros from = std::max(a.from, b.from), to = std::min(a.to, b.to);
+        bool same = a.gateway == b.gateway && a.process == b.process;
+        if (same || to <= from) continue;
+        found.push_back({"",
+                         subject + " has two owners: gateways " + std::to_string(a.gateway) + " and " +
+                             std::to_string(b.gateway),
+                         from, to == kNever ? kNever : to - from, b.gateway});
+      }
+    }
+  }
+  std::stable_sort(found.begin(), found.end(),
+                   [](const Finding& a, const Finding& b) { return a.at < b.at; });
+  return found;
+}
+
+}  // namespace lemonchute::lab
--- /dev/null
+++ b/lab/judge/rules/views.cpp
@@ -0,0 +1,66 @@
+// Judged from the last fault on: before that, views may differ. Who never says a view has none to compare.
+#include <map>
+
+#include "judge/rules.h"
+
+namespace lemonchute::lab {
+
+std::vector<Finding> ViewsConverge(const History& history, const Bounds& bounds) {
+  using Who = std::pair<int, int64_t>;
+  std::map<Who, std::string> views;  // of those that live
+  std::map<Who, bool> stopped;
+  Micros last_fault = 0, last = 0, differ_since = kNever;
+  std::vector<Finding> found;
+  auto agree = [&] {
+    const std::string* first = nullptr;
+    for (const auto& [who, view] : views) {
+      if (stopped[who]) continue;
+      if (first == nullptr) first = &view;
+      if (view != *first) return false;
+    }
+    return true;
+  };
+  // Names what went on differing past the bound, up to `at`.
+  auto look = [&](Micros at) {
+    if (differ_since == kNever) return;
+    Micros due = std::max(differ_since, last_fault) + bounds.converge;
+    if (at <= due) return;
+    std::string said;
+    for (const auto& [who, view] : views)
+      said += (said.empty() ? "" : ", ") + std::to_string(who.first) + " says " + view.substr(0, 40);
+    found.push_back({"", "views differ past the bound: " + said, due, at - due, -1});
+    differ_since = at;  // named once for each stretch of the bound
+  };
+  for (const Fact& fact : history.facts()) {
+    Who who{fact.gateway, fact.process};
+    bool fault = false;
+    switch (fact.what) {
+      case What::kView:
+      case What::kStarts:
+      case What::kEnds:
+      case What::kStops:
+      case What::kGoesOn:
+      case What::kFault:
+      case What::kHeal: look(fact.at); break;
+      default: continue;
+    }
+    switch (fact.what) {
+      case What::kView: views[who] = fact.subject; break;
+      case What::kEnds: views.erase(who); [[fallthrough]];
+      case What::kStarts: fault = true; break;
+      case What::kStops: stopped[who] = fault = true; break;
+      case What::kGoesOn: stopped[who] = false, fault = true; break;
+      default: fault = true; break;
+    }
+    if (fault) last_fault = fact.at;
+    last = fact.at;
+    if (agree())
+      differ_since = kNever;
+    else if (differ_since == kNever)
+      differ_since = fact.at;
+  }
+  look(bounds.end == kNever ? last : bounds.end);
+  return found;
+}
+
+}  // namespace lemonchute::lab
--- a/lab/model/day.h
+++ b/lab/model/day.h
@@ -16,6 +16,8 @@
 using Micros = int64_t;
 inline constexpr Micros kNever = INT64_MAX;
 inline constexpr Micros kSecond = 1'000'000;
+// A starved process runs its share of each slice: ten of a scheduler's ordinary 5 ms.
+inline constexpr Micros kSliceOfTime = 50'000;
 inline Micros FromS(double seconds) { return static_cast<Micros>(std::llround(seconds * 1e6)); }
 inline double ToS(Micros at) { return static_cast<double>(at) * 1e-6; }
 
@@ -52,6 +54,23 @@
   double work_s = 0, units = 0, guess = 0;
 };
 
+// The longest datagram between gateways, in bytes (PROTOCOL).
+inline constexpr size_t kMostDatagram = 256;
+
+// The far end of a gateway's path, and what befalls that path.
+enum class Far { kGateways, kCounter, kDiscovery, kBackends };
+enum class Ways { kBoth, kOut, kIn };  // out: from the gateway
+enum class Harm { kCut, kBlackHole, kReset, kTrickle, kDelay, kLoss, kDuplicate, kReorder };
+struct PathFault {
+  Far far = Far::kGateways;
+  Ways ways = Ways::kBoth;
+  Harm harm = Harm::kCut;
+  std::vector<int> gateways, others;  // by number; empty: all
+  double size = 0;                    // milliseconds, a share, or bytes a second
+};
+// What may befall a state folder between a process's end and the next start.
+enum class Spoil { kCut, kFlip, kOlder, kOther, kGone, kUnreadable, kReadOnly, kNoRoom };
+
 // Something that happens to the site. The targets are gateways, backends, a zone or customers, as the kind
 // says.
 enum class Happening {
@@ -80,7 +99,11 @@
   kInService,
   kRetune,
   kUpgrade,
-  kScrape,  // operators
+  kScrape,   // operators
+  kPath,     // a fault of Day::path_faults, named by the target, begins or ends
+  kClaim,    // gateways: starts anew with the name and number of gateway `size`
+  kSpoil,    // the state folders of gateways; size: which Spoil
+  kSqueeze,  // gateways: run `size` of each slice of time; nought ends it
 };
 const char* Name(Happening what);
 struct Incident {
@@ -97,7 +120,7 @@
 
 struct Day {
   uint64_t seed = 0;
-  std::string scenario;
+  std::string scenario, extensions;
   Micros length = 0, end = 0;
   int gateways = 0, zones = 0, memory_mb = 0, descriptors = 0;
   std::vector<DayClass> classes;
@@ -107,6 +130,7 @@
   std::vector<Customer> customers;
   std::vector<Arrival> arrivals;    // by time
   std::vector<Incident> incidents;  // by time
+  std::vector<PathFault> path_faults;
   std::vector<Trouble> troubles;
   // Backends.
   double crowding_loss = 0, crowding_at = 0, cold_share = 0, cold_s = 0, cold_from = 0, warm_after_s = 0;
@@ -127,6 +151,8 @@
   double list_notice_lo = 0, list_notice_hi = 0, start_notice_lo = 0, start_notice_hi = 0, agent_s = 0;
   int parts = 0;
   double calls_per_s = 0, call_s = 0, line_timeouts = 0, count_timeout_s = 0, lost_share = 0;
+  // Between gateways: share of the datagrams that are lost on any day, and what one takes in a second.
+  double peer_loss = 0, peer_in_per_s = 0, converge_s = 0;
   // Rules, prices and the goal.
   double drain_grace_s = 0, answer_grace_s = 0;
   int try_limit = 0;
@@ -136,6 +162,7 @@
 
   Micros LongestDeadline() const;  // of any class
   Micros KillAfter() const;        // from SIGTERM to SIGKILL at the soonest, as PROTOCOL has it
+  bool StreamFaults() const;       // some path other than between gateways is befallen
   double Capacity() const;         // work that the backends of the start do in a second
 };
 
--- a/lab/model/discovery.h
+++ b/lab/model/discovery.h
@@ -31,6 +31,9 @@
   // Silent ends: what waited is told now. Gives each gateway's moment for the newest version.
   void Silent(bool silent, Micros now, std::vector<Micros>* told);
 
+  // The same for one gateway alone, whose path to discovery passes nothing.
+  void Cut(int gateway, bool cut, Micros now);
+
   // The newest version that `gateway` has been told of by now.
   int VersionAt(int gateway, Micros now) const;
   // When `gateway` was or will be told of the version (from 1).
@@ -46,7 +49,12 @@
  private:
   const Day* day_;
   Random random_;
+  void Keep(size_t gateway, Micros now);
+  void Release(size_t gateway, Micros now);
+  bool Withholds(size_t gateway) const { return silent_ || cut_[gateway] != 0; }
+
   bool silent_ = false;
+  std::vector<char> cut_;  // by gateway
   std::vector<Change> changes_;
   std::vector<std::vector<Micros>> told_;  // for each version, for each gateway
   std::vector<char> withheld_;             // by version
--- a/lab/model/judge.h
+++ b/lab/model/judge.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "judge/history.h"
 #include "model/choice.h"
 #include "model/discovery.h"
 #include "model/losses.h"
@@ -51,6 +52,8 @@
 class Judge {
  public:
   Judge(const Day& day, const Discovery& discovery);
+  // Requests and their answers are put into `history` too, from here on. It outlives the judge.
+  void Keep(History* history) { history_ = history; }
 
   uint32_t Sent(Micros now, uint32_t arrival, int number, int gateway, Micros patience);
   void Taken(Micros now, uint32_t id);
@@ -114,8 +117,8 @@
   double Offered(uint32_t arrival) const;
   Second& SecondOf(Micros now);
   void MarkAs(Mark mark, Micros now, uint32_t id);
+  void Say(What what, Micros now, uint32_t id);
   void Note(char what, Micros now, uint64_t a, uint64_t b = 0);
-  std::optional<double> RecoverS(const Trouble& trouble) const;
 
   const Day* day_;
   const Discovery* discovery_;
@@ -143,6 +146,7 @@
   using LogAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   boost::histogram::histogram<std::tuple<LogAxis>> latency_;
   uint64_t digest_ = 0;
+  History* history_ = nullptr;
 };
 
 }  // namespace lemonchute::lab
--- a/lab/model/random.h
+++ b/lab/model/random.h
@@ -27,7 +27,9 @@
   kNetwork,
   kBackends,
   kClients,
-  kSeeds
+  kSeeds,
+  kPaths,
+  kFaults
 };
 
 class Random {
--- a/lab/model/scenario.h
+++ b/lab/model/scenario.h
@@ -43,6 +43,10 @@
 struct EventFigures {
   std::string kind;
   Range at_s{0, 0}, for_s{0, 0}, part{1, 1}, size{1, 1}, down_s{0.3, 1.4};
+  // By number, in place of a part that the day draws; of a path: the gateways at its near ends.
+  std::vector<int> targets;
+  std::vector<int> others;  // of a path: the far ends; none: all
+  std::string to, way = "both", what, order = "drawn";
   int line = 0;  // in the file, for what is wrong with it
 };
 
@@ -53,6 +57,8 @@
 
 struct Scenario {
   std::string name, about;
+  // JSON of the configuration's `extensions`; $STATE is the gateway's folder that outlives its processes.
+  std::string extensions;
   Range length_s{20, 20}, settle_s{4, 4};
   Range gateways{3, 3}, backends{9, 9}, zones{3, 3}, memory_mb{192, 192}, descriptors{1024, 1024};
   Range cores{2, 2}, speed{0.85, 1.1}, slots_per_core{2, 6}, queue_per_core{9, 34};
@@ -73,6 +79,7 @@
   Range list_notice_s{1, 5}, start_notice_s{0.22, 2.5}, agent_ms{20, 200};
   Range calls_per_s{490, 660}, parts{2, 3}, call_ms{0.32, 1.5}, line_timeouts{0.4, 3}, timeout_ms{30, 30};
   Range lost_share{0, 0}, counter_price{0.02, 0.02};
+  Range peer_loss{0, 0}, peer_in_per_s{60, 60}, converge_s{10, 10};
   Range drain_grace_ms{1000, 1000}, answer_grace_ms{50, 50}, try_limit{3, 3}, slack_share{0.1, 0.1};
   Range waste_price{0.08, 0.08}, late_price{0.03, 0.03}, cross_zone_price{0.005, 0.005},
       handshake_price{0, 0}, rude_price{0.3, 0.3}, hidden_price{0.3, 0.3};
@@ -94,6 +101,8 @@
   const char* about;
 };
 const std::vector<EventKind>& EventKinds();
+// Kinds that are load and no trouble: a day without its troubles keeps them.
+bool IsLoad(std::string_view kind);
 
 // Something wrong with a scenario: the line (0: none), the key and a plain reason.
 struct ScenarioFault {
@@ -110,6 +119,8 @@
 ReadScenario ParseScenario(std::string_view text);
 // One figure anew, from "key=2" or "key=[1,2]"; an empty result is a yes.
 std::optional<ScenarioFault> SetFigure(Scenario* scenario, std::string_view assignment);
+// The scenario as a file that reads back as the same scenario.
+std::string WriteScenario(const Scenario& scenario);
 // What no single key shows: shares that don't add up, events past the end, more zones than gateways.
 void CheckWhole(const Scenario& scenario, std::vector<ScenarioFault>* faults);
 
--- a/lab/model/settings.h
+++ b/lab/model/settings.h
@@ -13,7 +13,8 @@
 // Where a gateway finds the others. Addresses are "127.0.0.1:5000".
 struct Addresses {
   std::string listen, discovery, counter;
-  std::vector<std::string> backends;  // by place in Day::backends
+  std::string peer_listen, peers_all;
+  std::vector<std::string> peers;  // by number
 };
 
 // The `settings` object; quotas times `scale`.
--- a/lab/play/real/agents.h
+++ b/lab/play/real/agents.h
@@ -16,7 +16,8 @@
   void Begin();  // the day begins now: starts are told in Unix time from here on
   void Tell(const Discovery::Entry& entry);
   void Silent(bool silent);
-  void Refuse(bool refuse);  // every call gets a no
+  void Cut(int gateway, bool cut);  // its path to discovery passes nothing
+  void Refuse(bool refuse);         // every call gets a no
   // A gateway's list as it last had it, in discovery's form.
   nlohmann::json Known(int gateway) const;
 
@@ -32,7 +33,7 @@
   };
   void Ask(int gateway, const HttpServer::PeerPtr& peer, const HttpRequest& request);
   void Flush(int gateway);
-  nlohmann::json Entries(const std::vector<Discovery::Entry>& entries) const;
+  nlohmann::json Entries(int gateway, const std::vector<Discovery::Entry>& entries) const;
 
   World& world_;
   int64_t epoch_ms_ = 0;
--- a/lab/play/real/backend_stands.cpp
+++ b/lab/play/real/backend_stands.cpp
@@ -75,7 +75,8 @@
   by_peer_[static_cast<size_t>(backend)][peer->id()] = attempt;
   const Try& t = world_.judge.At(*id);
   const Arrival& a = world_.day.arrivals[t.arrival];
-  world_.judge.Sending(now, *id, backend);
+  auto written = world_.written_at.find(peer->from());
+  world_.judge.Sending(written == world_.written_at.end() ? now : written->second, *id, backend);
   Advance(backend);
   Regret regret = RegretOf(cores_, static_cast<size_t>(backend), a.work_s, now,
                            [&](size_t other) { return Lists(t.gateway, other); });
@@ -187,11 +188,13 @@
 void BackendStands::Start(int backend) {
   cores_[static_cast<size_t>(backend)].Start(world_.Now(), true);
   servers_[static_cast<size_t>(backend)]->Open();
+  changed_(backend, true);
 }
 
 void BackendStands::End(int backend) {
   cores_[static_cast<size_t>(backend)].Stop();
   servers_[static_cast<size_t>(backend)]->Close();
+  changed_(backend, false);
 }
 
 void BackendStands::Slow(int backend, double times) {
--- a/lab/play/real/backend_stands.h
+++ b/lab/play/real/backend_stands.h
@@ -17,6 +17,8 @@
  public:
   // `visitors`: requests that no client of the lab sent are served too, and nobody judges them.
   BackendStands(World& world, bool visitors);
+  // Called when one has started or ended.
+  void OnChange(std::function<void(int backend, bool up)> changed) { changed_ = std::move(changed); }
 
   void Start(int backend);
   void End(int backend);
@@ -54,6 +56,7 @@
 
   World& world_;
   const bool visitors_;
+  std::function<void(int, bool)> changed_ = [](int, bool) {};
   Random chance_;
   std::vector<Backend> cores_;
   std::vector<std::unique_ptr<HttpServer>> servers_;
--- a/lab/play/real/clients.h
+++ b/lab/play/real/clients.h
@@ -12,8 +12,10 @@
 
 class Clients {
  public:
-  // `answers`: whether that gateway owes answers at all, as one that runs and is not stopped does.
-  Clients(World& world, BackendStands& backends, bool null_run, std::function<bool(int gateway)> answers);
+  // `answers`: whether that gateway owes an answer to what was sent then, as one does that runs and was not
+  // stopped in between.
+  Clients(World& world, BackendStands& backends, bool null_run,
+          std::function<bool(int gateway, Micros sent)> answers);
   void Begin();                           // the day's arrivals, one after another
   size_t Connections(int gateway) const;  // that clients hold to it
 
@@ -33,7 +35,7 @@
   World& world_;
   BackendStands& backends_;
   const bool null_run_;
-  std::function<bool(int)> answers_;
+  std::function<bool(int, Micros)> answers_;
   std::vector<std::vector<std::shared_ptr<HttpConnection>>> idle_;  // by gateway; in a null run by backend
   std::unordered_map<uint32_t, Open> open_;
   std::vector<int> null_backend_;  // by try
--- a/lab/play/real/http.cpp
+++ b/lab/play/real/http.cpp
@@ -33,6 +33,7 @@
     : server_(server), socket_(std::move(socket)), id_(id) {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
+  from_ = socket_.remote_endpoint(ignored);
 }
 
 void HttpServer::Peer::Read() {
--- a/lab/play/real/http.h
+++ b/lab/play/real/http.h
@@ -32,6 +32,7 @@
     Peer(HttpServer* server, tcp::socket socket, uint64_t id);
     uint64_t id() const { return id_; }
     int requests() const { return requests_; }
+    const tcp::endpoint& from() const { return from_; }
     void Reply(std::string bytes, std::function<void()> written = {});
     void Reset();
 
@@ -43,6 +44,7 @@
 
     HttpServer* server_;
     tcp::socket socket_;
+    tcp::endpoint from_;
     uint64_t id_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
--- a/lab/play/real/process.cpp
+++ b/lab/play/real/process.cpp
@@ -2,6 +2,7 @@
 #include "play/real/process.h"
 
 #include <fcntl.h>
+#include <linux/capability.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -35,6 +36,7 @@
   int log = open(start.log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (log < 0) throw std::system_error(errno, std::generic_category(), "cannot write the log " + start.log);
   rlimit limit{static_cast<rlim_t>(start.descriptors), static_cast<rlim_t>(start.descriptors)};
+  rlimit file_limit{start.file_bytes, start.file_bytes};
   char program[] = "gateway";
   char* arguments[] = {program, nullptr};
   pid_t parent = getpid();
@@ -48,6 +50,11 @@
     if (start.listening >= 0) dup2(start.listening, 4), close(3), from = 5;
     close_range(static_cast<unsigned>(from), ~0u, 0);
     setrlimit(RLIMIT_NOFILE, &limit);
+    setrlimit(RLIMIT_FSIZE, &file_limit);
+    signal(SIGXFSZ, SIG_IGN);  // the write gets its no, and the process lives on
+    // The platform runs gateways as an ordinary user: permissions bind here too, where the lab is root's.
+    prctl(PR_CAPBSET_DROP, CAP_DAC_OVERRIDE);
+    prctl(PR_CAPBSET_DROP, CAP_DAC_READ_SEARCH);
     signal(SIGINT, SIG_IGN);  // Ctrl-C is the lab's to pass on
     execve(start.program.c_str(), arguments, environment.data());
     _exit(127);
--- a/lab/play/real/process.h
+++ b/lab/play/real/process.h
@@ -24,6 +24,7 @@
     std::map<std::string, std::string> environment;  // beside the lab's own
     std::string log;                                 // file that takes its output
     int descriptors = 1024;                          // limit
+    uint64_t file_bytes = uint64_t{256} << 20;       // the longest file it may write; further bytes get a no
     int listening = -1;                              // a socket that it inherits as descriptor 4
   };
   // Throws std::system_error where it can't be started.
@@ -32,6 +33,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  int64_t id() const { return pid_; }
   void Signal(int signal) const;
   // How it ended, in plain words; none while it runs.
   std::optional<std::string> Ended();
--- a/lab/play/real/real_day.h
+++ b/lab/play/real/real_day.h
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "judge/history.h"
 #include "model/day.h"
 
 namespace lemonchute::lab {
@@ -17,6 +18,7 @@
   std::string folder;                        // for logs and configurations; empty: one that ends with the day
   bool visitors = false;                     // backends serve requests that no client of the lab sent
   bool null_run = false;                     // no gateway between: what the lab itself costs
+  History* history = nullptr;                // takes the fleet's history, in order
   // Once all gateways are ready, and each second then: what to show.
   std::function<void(const nlohmann::json& now)> watch;
 };
@@ -28,7 +30,7 @@
 };
 
 // Plays `day`; the judge's report, with what each gateway used and how late the lab was. Ends early, with all
-// its processes, on SIGINT and SIGTERM; the report then says so. At most 30 gateways.
+// its processes, on SIGINT and SIGTERM; the report then says so. At most 100 gateways.
 nlohmann::json PlayReal(const Day& day, const RealOptions& options);
 
 }  // namespace lemonchute::lab
--- a/lab/play/real/schedule.h
+++ b/lab/play/real/schedule.h
@@ -24,6 +24,10 @@
 
   // Moments from here on count from `start`.
   void Begin(Clock::time_point start) { start_ = start; }
+  // The monotonic clock at that start.
+  Micros ClockAtStart() const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(start_.time_since_epoch()).count();
+  }
   Micros Now() const {
     return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start_).count();
   }
--- a/lab/play/real/site.h
+++ b/lab/play/real/site.h
@@ -21,6 +21,15 @@
   boost::asio::ip::tcp::endpoint Agent(int g) const { return At(2, g, 8500); }
   boost::asio::ip::tcp::endpoint Counter(int g) const { return At(3, g, 6400); }
   boost::asio::ip::tcp::endpoint Backend(int b) const { return At(10 + b / 250, b % 250, 9000); }
+  // Where a gateway listens for its peers, where they find it, and where one finds all of them.
+  boost::asio::ip::tcp::endpoint PeerListen(int g) const { return At(1, g, 7946); }
+  boost::asio::ip::tcp::endpoint Peer(int g) const { return At(4, g, 7946); }
+  boost::asio::ip::tcp::endpoint AllPeers() const { return At(5, 0, 7946); }
+  // The near ends of paths that a relay carries.
+  boost::asio::ip::tcp::endpoint AgentVia(int g) const { return At(6, g, 8500); }
+  boost::asio::ip::tcp::endpoint CounterVia(int g) const { return At(7, g, 6400); }
+  boost::asio::ip::tcp::endpoint BackendVia(int g, int b) const { return At(kVia + g, b, 9000); }
+  static constexpr int kVia = 60, kMostVia = 250;  // gateways and backends that have such addresses
   static std::string Text(const boost::asio::ip::tcp::endpoint& at) {
     return at.address().to_string() + ":" + std::to_string(at.port());
   }
--- a/lab/play/real/world.h
+++ b/lab/play/real/world.h
@@ -5,12 +5,15 @@
 #include <spdlog/logger.h>
 
 #include <boost/asio/io_context.hpp>
+#include <map>
+#include <vector>
 
 #include "model/counter.h"
 #include "model/discovery.h"
 #include "model/front.h"
 #include "model/judge.h"
 #include "model/network.h"
+#include "model/paths.h"
 #include "play/real/schedule.h"
 #include "play/real/site.h"
 
@@ -22,21 +25,36 @@
         schedule(io),
         slice(io),
         network(d),
+        paths(d),
         discovery(d),
         counter(d),
         front(d),
         judge(d, discovery) {}
   Micros Now() const { return schedule.Now(); }
+  // Where a gateway finds each party.
+  boost::asio::ip::tcp::endpoint AgentAt(int g) const { return relayed ? slice.AgentVia(g) : slice.Agent(g); }
+  boost::asio::ip::tcp::endpoint CounterAt(int g) const {
+    return relayed ? slice.CounterVia(g) : slice.Counter(g);
+  }
+  boost::asio::ip::tcp::endpoint BackendAt(int g, int b) const {
+    return relayed ? slice.BackendVia(g, b) : slice.Backend(b);
+  }
 
   const Day& day;
+  const bool relayed = day.StreamFaults();  // streams go through a relay, so that their paths can fail
   boost::asio::io_context io{1};
   Schedule schedule;
   Slice slice;
   Network network;
+  Paths paths;
   Discovery discovery;
   Counter counter;
   Front front;
   Judge judge;
+  // By the relay's end of a connection: when its gateway wrote what is under way on it now.
+  std::map<boost::asio::ip::tcp::endpoint, Micros> written_at;
+  // By gateway: attempts that it may have written whole, and a path kept from their backend for good.
+  std::vector<uint64_t> swallowed = std::vector<uint64_t>(static_cast<size_t>(day.gateways), 0);
   std::shared_ptr<spdlog::logger> log;  // of the lab itself
   std::vector<Micros> beside;           // of each served try: the client's time less the backend's
 };
--- a/lab/play/virtual/backends.h
+++ b/lab/play/virtual/backends.h
@@ -70,8 +70,10 @@
   void Advance(uint32_t backend);
   void Arm(uint32_t backend);
   void Disconnect(uint32_t backend, int connections = 1);
-  Micros Way(uint32_t gateway, uint32_t backend);
-  bool Passes(uint32_t gateway, uint32_t backend) const;
+  Micros Way(uint32_t gateway, uint32_t backend, bool out);
+  // Whether bytes arrive there, and back.
+  bool Reaches(uint32_t gateway, uint32_t backend) const;
+  bool Hears(uint32_t gateway, uint32_t backend) const;
 
   VirtualWorld& world_;
   Gateways gateways_;
--- a/lab/play/virtual/gateways.h
+++ b/lab/play/virtual/gateways.h
@@ -61,6 +61,7 @@
   void Finish(uint32_t gateway, uint32_t id, Final final, double retry_after_s);
   void Outcome(uint32_t attempt);
   void ForgetIfOver(uint32_t gateway, uint32_t id);
+  void FirstList(uint32_t gateway, Micros wait);
   void GiveList(uint32_t gateway, policy::ListKind kind, const std::vector<Discovery::Entry>& entries);
   void Count(uint32_t gateway, const policy::Action& action);
   void CallThere(uint32_t call);
--- a/lab/play/virtual/world.h
+++ b/lab/play/virtual/world.h
@@ -7,18 +7,27 @@
 #include "model/front.h"
 #include "model/judge.h"
 #include "model/network.h"
+#include "model/paths.h"
 #include "play/virtual/agenda.h"
 
 namespace lemonchute::lab {
 
 struct VirtualWorld {
   explicit VirtualWorld(const Day& d)
-      : day(d), agenda(d.gateways), network(d), discovery(d), counter(d), front(d), judge(d, discovery) {}
+      : day(d),
+        agenda(d.gateways),
+        network(d),
+        paths(d),
+        discovery(d),
+        counter(d),
+        front(d),
+        judge(d, discovery) {}
   Micros Now() const { return agenda.now(); }
 
   const Day& day;
   Agenda agenda;
   Network network;
+  Paths paths;
   Discovery discovery;
   Counter counter;
   Front front;
