--- a/lab/cli/tables.cpp
+++ b/lab/cli/tables.cpp
@@ -132,6 +132,97 @@
   return out;
 }
 
+namespace {
+
+// Seconds from the end of the last trouble until service was back; -1: never, -2: the day ended first.
+double RecoveredAfter(const json& report) {
+  double took = -2, latest = -1;
+  if (!report.contains("troubles")) return took;
+  for (const json& trouble : report["troubles"]) {
+    if (trouble["to_s"] < latest) continue;
+    latest = trouble["to_s"];
+    took = trouble.value("recover_s", -2.0);
+  }
+  return took;
+}
+
+std::string FaultsByKind(const std::vector<json>& found) {
+  struct Cost {
+    std::vector<double> lost, recover;
+    int never = 0, failed = 0, days = 0;
+  };
+  std::vector<std::pair<std::string, Cost>> kinds;
+  for (const json& one : found) {
+    const std::string kind = one["events"].back();
+    if (kinds.empty() || kinds.back().first != kind) kinds.push_back({kind, {}});
+    Cost& cost = kinds.back().second;
+    ++cost.days;
+    cost.failed += one["failed"] == "" ? 0 : 1;
+    cost.lost.push_back(one["report"].value("lost_to_troubles", 0.0));
+    double took = RecoveredAfter(one["report"]);
+    if (took >= 0) cost.recover.push_back(took);
+    cost.never += took == -1 ? 1 : 0;
+  }
+  std::vector<Row> rows = {
+      {"fault", "days", "lost, mean", "lost, worst", "recover s, median", "never", "failed"}};
+  for (const auto& [kind, cost] : kinds) {
+    rows.push_back({kind, std::to_string(cost.days), Fixed(Mean(cost.lost), 4),
+                    Fixed(*std::max_element(cost.lost.begin(), cost.lost.end()), 4),
+                    cost.recover.empty() ? "-" : Fixed(Median(cost.recover), 0), std::to_string(cost.never),
+                    std::to_string(cost.failed)});
+  }
+  return Table(rows, 1);
+}
+
+}  // namespace
+
+std::string FaultTable(const std::vector<json>& found, bool by_kind) {
+  if (by_kind) return FaultsByKind(found);
+  std::string out;
+  std::map<std::string, int> failures;
+  std::vector<double> lost, recover, late;
+  int never = 0;
+  for (const json& one : found) {
+    const json& report = one["report"];
+    lost.push_back(report.value("lost_to_troubles", 0.0));
+    double took = RecoveredAfter(report);
+    if (took >= 0) recover.push_back(took);
+    never += took == -1 ? 1 : 0;
+    if (report.contains("lab")) late.push_back(report["lab"]["late_worst_ms"].get<double>());
+    const std::string why = one["failed"];
+    if (why.empty()) continue;
+    ++failures[why];
+    out += "seed " + one["seed"].dump() + ": fails by " + why;
+    if (report.contains("breaches"))
+      out += " at " + Fixed(report["breaches"][0]["at_s"]) +
+             " s: " + report["breaches"][0]["what"].get<std::string>();
+    if (one.contains("file"))
+      out += "; " + std::to_string(one["events"].size()) + " events shrunk to " + one["left"].dump() +
+             " in " + one["plays"].dump() + " plays: " + one["file"].get<std::string>();
+    out += "\n";
+  }
+  out += std::to_string(found.size()) + " plans, " +
+         std::to_string(found.size() -
+                        [&] {
+                          size_t sum = 0;
+                          for (const auto& [why, count] : failures) sum += static_cast<size_t>(count);
+                          return sum;
+                        }()) +
+         " kept every rule";
+  for (const auto& [why, count] : failures) out += "; " + std::to_string(count) + " failed by " + why;
+  if (!lost.empty())
+    out += "\nlost to troubles: " + Fixed(Mean(lost), 4) + " in the mean, " +
+           Fixed(*std::max_element(lost.begin(), lost.end()), 4) + " at the worst";
+  if (!recover.empty())
+    out += "\nservice back after the last trouble: median " + Fixed(Median(recover), 0) + " s, worst " +
+           Fixed(*std::max_element(recover.begin(), recover.end()), 0) + " s, on " + std::to_string(never) +
+           " days not by the end";
+  if (!late.empty())
+    out += "\nthe lab itself was late by " + Fixed(*std::max_element(late.begin(), late.end()), 1) +
+           " ms at the worst";
+  return out + "\n";
+}
+
 std::string CompareTable(const json& result) {
   std::vector<Row> rows = {{"scenario", "figure", "A", "B", "B - A", "95% from", "to", "a difference?"}};
   for (const json& scenario : result["scenarios"]) {
--- a/lab/cli/tables.h
+++ b/lab/cli/tables.h
@@ -10,6 +10,8 @@
 namespace lemonchute::lab {
 
 std::string DayTable(const std::vector<nlohmann::json>& reports);
+// Of a hunt's results. `by_kind`: a row for each kind of fault, what it costs in the mean.
+std::string FaultTable(const std::vector<nlohmann::json>& found, bool by_kind);
 std::string CompareTable(const nlohmann::json& result);
 std::string KeyTable();
 std::string LiveTable(const nlohmann::json& now);
--- a/lab/experiment/compare.cpp
+++ b/lab/experiment/compare.cpp
@@ -4,11 +4,14 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <csignal>
+#include <cstdlib>
 
 #include "experiment/statistics.h"
 #include "play/real/real_day.h"
@@ -18,6 +21,8 @@
 namespace lemonchute::lab {
 namespace {
 
+constexpr const char* kEndsWithParent = "LEMONCHUTE_LAB_PARENT";
+
 // What is compared; a path of keys in a report.
 const std::vector<std::pair<const char*, const char*>> kFigures = {{"g", "/g"},
                                                                    {"served", "/served"},
@@ -33,6 +38,13 @@
 
 }  // namespace
 
+void EndWithParent() {
+  const char* parent = getenv(kEndsWithParent);
+  if (parent == nullptr) return;
+  prctl(PR_SET_PDEATHSIG, SIGTERM);
+  if (std::to_string(getppid()) != parent) raise(SIGTERM);  // it was gone before we asked
+}
+
 std::string Capture(const std::string& program, const std::vector<std::string>& arguments) {
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw CannotPlay("no descriptors are left for another program");
@@ -43,7 +55,14 @@
   for (const std::string& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
   argv.push_back(nullptr);
   pid_t pid = 0;
-  int failed = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
+  // It ends with us, however we end.
+  std::string with_parent = std::string(kEndsWithParent) + "=" + std::to_string(getpid());
+  std::vector<char*> environment{with_parent.data()};
+  for (char** at = environ; *at != nullptr; ++at) {
+    if (std::string_view(*at).rfind(kEndsWithParent, 0) != 0) environment.push_back(*at);
+  }
+  environment.push_back(nullptr);
+  int failed = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
   close(ends[1]);
   if (failed != 0) {
--- a/lab/experiment/compare.h
+++ b/lab/experiment/compare.h
@@ -14,6 +14,9 @@
 // Throws CannotPlay where it can't be started, and where it ends in another way than with 0 or 1.
 std::string Capture(const std::string& program, const std::vector<std::string>& arguments);
 
+// Of a program that Capture() started: it is told to end when its parent ends. Nothing in any other.
+void EndWithParent();
+
 struct Builds {
   std::string a, b;                    // folders of two builds
   std::vector<std::string> scenarios;  // files
--- a/lab/experiment/runner.cpp
+++ b/lab/experiment/runner.cpp
@@ -3,10 +3,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <memory>
 #include <mutex>
 #include <thread>
 
+#include "experiment/recovery.h"
 #include "play/virtual/virtual_day.h"
 
 namespace lemonchute::lab {
@@ -41,6 +43,23 @@
   (*report)["held"] = held;
 }
 
+namespace {
+
+// The same day without its troubles is always played in virtual time: on sockets it would take as long again.
+void Beside(const Day& day, nlohmann::json* report) {
+  if (day.troubles.empty()) return;
+  Recover(PlayVirtual(WithoutTroubles(day)), report);
+}
+
+void KeepHistory(const Batch& batch, const History& history) {
+  if (batch.history.empty()) return;
+  std::ofstream out(batch.history, std::ios::binary);
+  out << history.Lines();
+  if (!out.flush()) throw CannotPlay("cannot write " + batch.history);
+}
+
+}  // namespace
+
 std::vector<nlohmann::json> Play(const Batch& batch) {
   struct Task {
     const Scenario* scenario;
@@ -59,7 +78,11 @@
       if (!options.folder.empty() && tasks.size() > 1)
         options.folder += "/" + tasks[i].scenario->name + "-" + std::to_string(tasks[i].seed);
       Day day = DrawDay(*tasks[i].scenario, tasks[i].seed);
+      History history;
+      if (batch.with_history) options.history = &history;
       reports[i] = PlayReal(day, options);
+      Beside(day, &reports[i]);
+      KeepHistory(batch, history);
       Hold(tasks[i].scenario->expect, &reports[i]);
       if (batch.progress) batch.progress(static_cast<double>(i + 1) / static_cast<double>(tasks.size()));
       if (reports[i].value("stopped", false)) {
@@ -77,7 +100,10 @@
     for (size_t i = next++; i < tasks.size(); i = next++) {
       try {
         Day day = DrawDay(*tasks[i].scenario, tasks[i].seed);
-        reports[i] = PlayVirtual(day, &done[i]);
+        History history;
+        reports[i] = PlayVirtual(day, &done[i], batch.with_history ? &history : nullptr);
+        Beside(day, &reports[i]);
+        if (i + 1 == tasks.size()) KeepHistory(batch, history);
         Hold(tasks[i].scenario->expect, &reports[i]);
       } catch (...) {
         std::lock_guard lock(mutex);
--- a/lab/experiment/runner.h
+++ b/lab/experiment/runner.h
@@ -19,7 +19,9 @@
   std::vector<Scenario> scenarios;
   uint64_t first_seed = 1, last_seed = 1;
   Way way = Way::kVirtual;
-  int jobs = 1;  // threads in virtual time
+  int jobs = 1;               // threads in virtual time
+  bool with_history = false;  // each request goes into the history too, and it is judged
+  std::string history;        // file for the history of the last day played; empty: none is kept
   RealOptions real;
   // How far all is, from 0 to 1; called now and then, from the caller's thread.
   std::function<void(double)> progress;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -13,6 +13,7 @@
 
 #include "cli/tables.h"
 #include "experiment/compare.h"
+#include "experiment/faults.h"
 #include "experiment/runner.h"
 #include "report/html.h"
 
@@ -25,10 +26,12 @@
 
 struct Asked {
   std::vector<std::string> scenarios, settings, builds;
-  std::string seeds = "1", gateway, logs, report, output = "report.html", sweep;
+  std::string seeds = "1", gateway, logs, report, output = "report.html", sweep, history, folder, kind;
   bool real = false, null_run = false, as_json = false;
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
-  int for_s = 900;
+  int for_s = 900, events = 8, gateways = 0;
+  double quiet_s = 10, recover_s = 0;
+  bool with_history = false, by_kind = false;
 };
 
 // A fault in what was asked for; the text is whole.
@@ -104,6 +107,8 @@
   batch.jobs = std::clamp(asked.jobs, 1, 256);
   batch.real.program = asked.gateway.empty() ? BesideLab("lemonchute") : asked.gateway;
   batch.real.folder = asked.logs;
+  batch.with_history = asked.with_history || !asked.history.empty();
+  batch.history = asked.history;
   batch.progress = ProgressLine();
   return batch;
 }
@@ -159,6 +164,60 @@
   return held ? kAsExpected : kNotAsExpected;
 }
 
+// The day on which plans are laid.
+Scenario FaultBase(Asked asked) {
+  if (asked.scenarios.empty()) asked.scenarios = {LAB_FAULTS_BASE};
+  if (asked.gateways > 0) asked.settings.push_back("fleet.gateways=" + std::to_string(asked.gateways));
+  Scenario base = ReadScenarios(asked)[0];
+  if (asked.events < 1 || asked.events > 64) throw Unusable("--events: from 1 to 64");
+  if (asked.quiet_s < 2 || asked.quiet_s + 5 > base.length_s.lo)
+    throw Unusable("--quiet: from 2 s to 5 s less than the day's length");
+  base.expect = {};
+  return base;
+}
+
+int Faults(const Asked& asked) {
+  FaultHunt hunt;
+  hunt.base = FaultBase(asked);
+  std::tie(hunt.first_seed, hunt.last_seed) = ReadSeeds(asked.seeds);
+  hunt.wish = {asked.by_kind ? 1 : asked.events, asked.quiet_s, asked.real, asked.kind};
+  std::vector<std::string> kinds = PlanKinds(asked.real);
+  if (!asked.kind.empty() && std::find(kinds.begin(), kinds.end(), asked.kind) == kinds.end()) {
+    std::string all;
+    for (const std::string& kind : kinds) all += (all.empty() ? "" : ", ") + kind;
+    throw Unusable("--kind " + asked.kind + ": has to be one of " + all);
+  }
+  if (asked.kind.empty() == false) kinds = {asked.kind};
+  hunt.jobs = std::clamp(asked.jobs, 1, 64);
+  hunt.recover_s = asked.recover_s;
+  hunt.folder = asked.folder;
+  if (!hunt.folder.empty()) std::filesystem::create_directories(hunt.folder);
+  if (asked.real) {
+    hunt.lab = BesideLab("lemonchute-lab");
+    hunt.gateway = asked.gateway.empty() ? BesideLab("lemonchute") : asked.gateway;
+  }
+  hunt.progress = ProgressLine();
+  std::vector<json> all;
+  for (const std::string& kind : asked.by_kind ? kinds : std::vector<std::string>{asked.kind}) {
+    hunt.wish.kind = kind;
+    std::vector<json> found = Hunt(hunt);
+    std::move(found.begin(), found.end(), std::back_inserter(all));
+  }
+  if (!asked.report.empty()) {
+    std::vector<json> reports;
+    for (const json& one : all) reports.push_back(one["report"]);
+    WriteFile(asked.report, HtmlReport(reports));
+  }
+  if (asked.as_json) {
+    for (const json& one : all) std::printf("%s\n", one.dump().c_str());
+  } else {
+    std::fputs(FaultTable(all, asked.by_kind).c_str(), stdout);
+    if (!asked.report.empty()) std::printf("report: %s\n", asked.report.c_str());
+  }
+  bool none = std::all_of(all.begin(), all.end(), [](const json& one) { return one["failed"] == ""; });
+  return none ? kAsExpected : kNotAsExpected;
+}
+
 int Report(const Asked& asked) {
   std::vector<json> reports;
   std::istringstream lines(ReadFile(asked.scenarios[0]));
@@ -223,6 +282,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  EndWithParent();
   CLI::App app{
       "lemonchute-lab: an emulator of the site, round the gateway's decision module or the gateway itself"};
   app.require_subcommand(1);
@@ -246,6 +306,25 @@
   };
   CLI::App* run = app.add_subcommand("run", "play scenarios");
   scenarios(run), days(run), ways(run);
+  run->add_flag("--history", asked.with_history,
+                "requests go into the fleet's history too, and it is judged");
+  run->add_option("--history-file", asked.history,
+                  "write the last day's history there, a line of JSON a fact");
+  CLI::App* faults = app.add_subcommand(
+      "faults", "drawn fault plans: rules, recovery, and what is left of a plan that fails");
+  faults->add_option("scenario", asked.scenarios, "the day on which plans are laid; else the shipped one")
+      ->expected(0, 1);
+  days(faults);
+  faults->add_option("--gateways", asked.gateways, "of the fleet; else the scenario's");
+  faults->add_option("--events", asked.events, "of a plan")->capture_default_str();
+  faults->add_option("--quiet", asked.quiet_s, "seconds at the end in which nothing is wrong")
+      ->capture_default_str();
+  faults->add_option("--kind", asked.kind, "this kind alone");
+  faults->add_flag("--by-kind", asked.by_kind, "every kind by itself: what service costs");
+  faults->add_option("--recover", asked.recover_s,
+                     "fails too where service is not back after so many seconds");
+  faults->add_option("--out", asked.folder, "shrink what fails, and write it there as scenarios");
+  ways(faults);
   CLI::App* compare = app.add_subcommand(
       "compare", "two builds on the same days, in turn; differences with their 95% interval");
   compare->add_option("--builds", asked.builds, "two folders with builds, A and B")->required()->expected(2);
@@ -275,6 +354,7 @@
   }
   try {
     if (run->parsed()) return Run(asked);
+    if (faults->parsed()) return Faults(asked);
     if (compare->parsed()) return DoCompare(asked);
     if (sweep->parsed()) return Sweep(asked);
     if (report->parsed()) return Report(asked);
--- a/lab/tests/cuts.cmake
+++ b/lab/tests/cuts.cmake
@@ -16,12 +16,14 @@
     add_executable(lab_cut_${name} ${CMAKE_SOURCE_DIR}/lab/main.cpp ${copy})
     target_include_directories(lab_cut_${name} SYSTEM PRIVATE ${CLI11_INCLUDE})
     target_link_libraries(lab_cut_${name} PRIVATE lemonchute_lab_experiment)
+    target_compile_definitions(lab_cut_${name} PRIVATE ${lab_program_words})
   else()
     add_executable(lab_cut_${name} ${CMAKE_SOURCE_DIR}/src/main.cpp ${copy})
     target_link_libraries(lab_cut_${name} PRIVATE lemonchute_net)
   endif()
   target_compile_options(lab_cut_${name} PRIVATE -w -O1)  # a fault may leave code that nothing reaches
   add_dependencies(lemonchute_lab_tests lab_cut_${name})
+  add_dependencies(lemonchute_fleet_tests lab_cut_${name})
 endfunction()
 
 # In the module.
