--- a/lab/play/real/agents.cpp
+++ b/lab/play/real/agents.cpp
@@ -61,6 +61,10 @@
           {"endpoints", Entries(gateway, world_.discovery.ListAt(version))}};
 }
 
+bool Agents::Answers(int gateway) const {
+  return !silent_ && !refuses_ && world_.paths.Passes(gateway, Far::kDiscovery);
+}
+
 void Agents::Ask(int gateway, const HttpServer::PeerPtr& peer, const HttpRequest& request) {
   std::string target(request.target().data(), request.target().size());
   if (target.rfind("/api/targets", 0) != 0) return peer->Reply(HttpAnswer(404, "", ""));
@@ -110,7 +114,8 @@
   world_.discovery.Cut(gateway, cut, world_.Now());
   auto newest = static_cast<int>(world_.discovery.changes().size());
   if (!cut && newest > 0)
-    world_.schedule.At(world_.discovery.ToldAt(gateway, newest), [this, gateway] { Flush(gateway); });
+    world_.schedule.At(std::max(world_.Now(), world_.discovery.ToldAt(gateway, newest)),
+                       [this, gateway] { Flush(gateway); });
 }
 
 void Agents::Refuse(bool refuse) {
--- a/lab/play/real/agents.h
+++ b/lab/play/real/agents.h
@@ -18,6 +18,8 @@
   void Silent(bool silent);
   void Cut(int gateway, bool cut);  // its path to discovery passes nothing
   void Refuse(bool refuse);         // every call gets a no
+  // Whether a gateway that asks now is answered.
+  bool Answers(int gateway) const;
   // A gateway's list as it last had it, in discovery's form.
   nlohmann::json Known(int gateway) const;
 
--- a/lab/play/real/fleet.h
+++ b/lab/play/real/fleet.h
@@ -65,7 +65,7 @@
     bool expected_end = false;                        // of the newest
     bool ready = false, whole_day = true;
     int launches = 0, ops = 0, stops = 0;
-    Micros went_on = 0;     // after its latest stop
+    Micros went_on = 0;     // after its latest stop, or ready after its latest start; kNever: not yet
     int claims = -1;        // the number that it says is its own; -1: the right one
     uint64_t squeezes = 0;  // the newest squeeze counts
     std::unique_ptr<StateFolder> state;
