--- a/lab/play/real/relays.cpp
+++ b/lab/play/real/relays.cpp
@@ -141,7 +141,8 @@
 
 void Relay::Forget(const LinkPtr& link) {
   link->gone = true;
-  world_.written_at.erase(link->far_end);
+  // What its party has not read yet is still looked up.
+  world_.schedule.After(kSecond, [this, end = link->far_end] { world_.written_at.erase(end); });
   if (far_ == Far::kBackends && (!link->joined || link->holed || !link->out.held.empty()))
     ++world_.swallowed[static_cast<size_t>(gateway_)];
   links_.erase(link);
--- a/lab/play/real/schedule.h
+++ b/lab/play/real/schedule.h
@@ -32,7 +32,8 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start_).count();
   }
   void At(Micros at, std::function<void()> what) {
-    due_.push({start_ + std::chrono::microseconds(at), ++order_, std::move(what)});
+    // What is past already is due now: the lab is not late by it.
+    due_.push({std::max(start_ + std::chrono::microseconds(at), Clock::now()), ++order_, std::move(what)});
     Arm();
   }
   void After(Micros wait, std::function<void()> what) { At(Now() + wait, std::move(what)); }
--- a/lab/tests/rules_test.cpp
+++ b/lab/tests/rules_test.cpp
@@ -97,6 +97,7 @@
       {"trusts what another kept", "0 1 kept inc 3\n9 2 trusts inc 3\n", "memory@9"},
       {"one answer each, or a reason",
        "0 1 asked a 0 900\n1 2 asked b 0 900\n2 3 asked c 0 900\n5 1 answered a\n9 2 ends\n9 3 gone c\n", ""},
+      {"its client had left before it arrived", "0 1 gone a\n1 1 asked a 0 900\n", ""},
       {"a second final answer", "0 1 asked a 0 900\n5 1 answered a\n9 1 answered a\n", "answers@9"},
       {"no answer in its time", "0 1 asked a 0 900\n950 1 ends\n", "answers@900"},
       {"an answer to nothing", "5 1 answered a\n", "answers@5"},
