Lab: a message's time is kept by both ends of its connection

The relay kept the time of a message by its own end alone, and a kernel gives one port to several connections to different backends, so one message took another's time; seen as breaches during the cut, before anything could have flowed on.

Change: the time is kept by both ends.

--- a/lab/play/real/backend_stands.cpp
+++ b/lab/play/real/backend_stands.cpp
@@ -75,7 +75,7 @@
   by_peer_[static_cast<size_t>(backend)][peer->id()] = attempt;
   const Try& t = world_.judge.At(*id);
   const Arrival& a = world_.day.arrivals[t.arrival];
-  auto written = world_.written_at.find(peer->from());
+  auto written = world_.written_at.find({peer->from(), world_.slice.Backend(backend)});
   world_.judge.Sending(written == world_.written_at.end() ? now : written->second, *id, backend);
   Advance(backend);
   Regret regret = RegretOf(cores_, static_cast<size_t>(backend), a.work_s, now,
--- a/lab/play/real/relays.cpp
+++ b/lab/play/real/relays.cpp
@@ -84,7 +84,7 @@
     return;
   }
   // A message's time is that of its first byte, however long the path keeps it.
-  if (out && half.held.empty()) world_.written_at[link->far_end] = world_.Now();
+  if (out && half.held.empty()) world_.written_at[{link->far_end, to_}] = world_.Now();
   auto due = std::max(half.last,
                       Schedule::Clock::now() + std::chrono::microseconds(world_.paths.StreamDelay(state, 0)));
   size_t piece = bytes;
@@ -142,7 +142,8 @@
 void Relay::Forget(const LinkPtr& link) {
   link->gone = true;
   // What its party has not read yet is still looked up.
-  world_.schedule.After(kSecond, [this, end = link->far_end] { world_.written_at.erase(end); });
+  world_.schedule.After(kSecond,
+                        [this, ends = World::Ends(link->far_end, to_)] { world_.written_at.erase(ends); });
   if (far_ == Far::kBackends && (!link->joined || link->holed || !link->out.held.empty()))
     ++world_.swallowed[static_cast<size_t>(gateway_)];
   links_.erase(link);
--- a/lab/play/real/world.h
+++ b/lab/play/real/world.h
@@ -51,8 +51,10 @@
   Counter counter;
   Front front;
   Judge judge;
-  // By the relay's end of a connection: when its gateway wrote what is under way on it now.
-  std::map<boost::asio::ip::tcp::endpoint, Micros> written_at;
+  // By both ends of a relay's connection (one end's port may serve several): when its gateway wrote what is
+  // under way on it now.
+  using Ends = std::pair<boost::asio::ip::tcp::endpoint, boost::asio::ip::tcp::endpoint>;
+  std::map<Ends, Micros> written_at;
   // By gateway: attempts that it may have written whole, and a path kept from their backend for good.
   std::vector<uint64_t> swallowed = std::vector<uint64_t>(static_cast<size_t>(day.gateways), 0);
   std::shared_ptr<spdlog::logger> log;  // of the lab itself
