Lab: one question for each way of a path; one place that signals a gateway's processes

Cause: two checks in virtual time were copies but for the way of the path, the same path was looked up in four forms, and the reload sent its signal in a loop that another function has.

Change: PathOf and Passes take the way; the reload uses SignalAll. No behaviour changes.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -187,7 +187,7 @@
     for (const std::string& kind : kinds) all += (all.empty() ? "" : ", ") + kind;
     throw Unusable("--kind " + asked.kind + ": has to be one of " + all);
   }
-  if (asked.kind.empty() == false) kinds = {asked.kind};
+  if (!asked.kind.empty()) kinds = {asked.kind};
   hunt.jobs = std::clamp(asked.jobs, 1, 64);
   hunt.recover_s = asked.recover_s;
   hunt.folder = asked.folder;
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -358,9 +358,7 @@
   world_.judge.Scaled(scale);
   for (int g = 0; g < world_.day.gateways; ++g) {
     Write(g);
-    for (auto& process : members_[static_cast<size_t>(g)].processes) {
-      if (!process->Ended()) process->Signal(SIGHUP);
-    }
+    SignalAll(members_[static_cast<size_t>(g)], SIGHUP);
   }
 }
 
--- a/lab/play/virtual/backends.cpp
+++ b/lab/play/virtual/backends.cpp
@@ -34,23 +34,20 @@
   }
 }
 
-Micros VirtualBackends::Way(uint32_t gateway, uint32_t backend, bool out) {
+PathState VirtualBackends::PathOf(uint32_t gateway, uint32_t backend, bool out) const {
   auto g = static_cast<int>(gateway), b = static_cast<int>(backend);
-  PathState path = out ? world_.paths.Out(g, Far::kBackends, b) : world_.paths.In(g, Far::kBackends, b);
-  return world_.network.Way(world_.day.gateway_zone[gateway], world_.day.backends[backend].zone) +
-         world_.paths.StreamDelay(path, kMessageBytes);
+  return out ? world_.paths.Out(g, Far::kBackends, b) : world_.paths.In(g, Far::kBackends, b);
 }
 
-bool VirtualBackends::Reaches(uint32_t gateway, uint32_t backend) const {
-  return silent_.count(backend) == 0 &&
-         world_.network.Passes(world_.day.gateway_zone[gateway], world_.day.backends[backend].zone) &&
-         world_.paths.Out(static_cast<int>(gateway), Far::kBackends, static_cast<int>(backend)).Passes();
+Micros VirtualBackends::Way(uint32_t gateway, uint32_t backend, bool out) {
+  return world_.network.Way(world_.day.gateway_zone[gateway], world_.day.backends[backend].zone) +
+         world_.paths.StreamDelay(PathOf(gateway, backend, out), kMessageBytes);
 }
 
-bool VirtualBackends::Hears(uint32_t gateway, uint32_t backend) const {
+bool VirtualBackends::Passes(uint32_t gateway, uint32_t backend, bool out) const {
   return silent_.count(backend) == 0 &&
          world_.network.Passes(world_.day.gateway_zone[gateway], world_.day.backends[backend].zone) &&
-         world_.paths.In(static_cast<int>(gateway), Far::kBackends, static_cast<int>(backend)).Passes();
+         PathOf(gateway, backend, out).Passes();
 }
 
 void VirtualBackends::Disconnect(uint32_t backend, int connections) {
@@ -80,9 +77,9 @@
   } else {
     attempt.fresh = true;
     world_.judge.Handshake(now);
-    if (world_.paths.Out(static_cast<int>(gateway), Far::kBackends, static_cast<int>(backend)).resets)
+    if (PathOf(gateway, backend, true).resets)
       return Over(index, std::min(due, now + 2 * way), Result::kConnectFailed);
-    if (!Reaches(gateway, backend) || !Hears(gateway, backend)) {  // no sign of it
+    if (!Passes(gateway, backend, true) || !Passes(gateway, backend, false)) {  // no sign of it
       return Over(index, std::min(due, now + FromS(world_.day.connect_timeout_s)), Result::kConnectFailed);
     }
     if (!cores_[backend].up() || connections_[backend] >= world_.day.backends[backend].connections) {
@@ -100,10 +97,9 @@
   uint32_t gateway = attempt.gateway, backend = attempt.backend;
   Micros now = world_.Now();
   if (attempt.told) return Disconnect(backend);  // given up on the way
-  if (!Reaches(gateway, backend)) {
+  if (!Passes(gateway, backend, true)) {
     attempt.unheard = true;
-    bool reset =
-        world_.paths.Out(static_cast<int>(gateway), Far::kBackends, static_cast<int>(backend)).resets;
+    bool reset = PathOf(gateway, backend, true).resets;
     if (reset) Over(index, now, Result::kReset);
     return;
   }
@@ -213,7 +209,7 @@
     }
     attempt.out = false;
     bool error = chance_.Chance(world_.day.error_share), reset = !error && chance_.Chance(resets_);
-    bool heard = Hears(attempt.gateway, backend);
+    bool heard = Passes(attempt.gateway, backend, false);
     bool served = !end.overdue && !error && !reset && !attempt.told && heard && gateways_.wants(index);
     world_.judge.Back(world_.Now(), attempt.id, served, end.work_s);
     if (!heard) continue;  // the answer never comes
@@ -251,7 +247,7 @@
     if (attempt.backend != backend || !attempt.out) continue;
     attempt.out = false;
     world_.judge.Back(world_.Now(), attempt.id, false, 0);
-    if (!attempt.told && Hears(attempt.gateway, backend))
+    if (!attempt.told && Passes(attempt.gateway, backend, false))
       Over(index, world_.Now() + Way(attempt.gateway, backend, false), Result::kReset);
   }
 }
--- a/lab/play/virtual/backends.h
+++ b/lab/play/virtual/backends.h
@@ -71,9 +71,9 @@
   void Arm(uint32_t backend);
   void Disconnect(uint32_t backend, int connections = 1);
   Micros Way(uint32_t gateway, uint32_t backend, bool out);
-  // Whether bytes arrive there, and back.
-  bool Reaches(uint32_t gateway, uint32_t backend) const;
-  bool Hears(uint32_t gateway, uint32_t backend) const;
+  // One way of the path, and whether bytes pass on it: `out` from the gateway.
+  PathState PathOf(uint32_t gateway, uint32_t backend, bool out) const;
+  bool Passes(uint32_t gateway, uint32_t backend, bool out) const;
 
   VirtualWorld& world_;
   Gateways gateways_;
