Lab: the order of return after a power loss that costs the most

Change: `lemonchute-lab worst` climbs from the worst of sixteen orders by moving or turning a run of it, sixteen plays a round in virtual time, and writes the scenario that plays what it found.

It is the worst found, no proof of the worst.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -15,6 +15,8 @@
 #include "experiment/compare.h"
 #include "experiment/faults.h"
 #include "experiment/runner.h"
+#include "experiment/statistics.h"
+#include "experiment/worst_order.h"
 #include "report/html.h"
 
 namespace {
@@ -32,6 +34,7 @@
   int for_s = 900, events = 8, gateways = 0;
   double quiet_s = 10, recover_s = 0;
   bool with_history = false, by_kind = false;
+  int plays = 256;
 };
 
 // A fault in what was asked for; the text is whole.
@@ -227,6 +230,30 @@
   return none ? kAsExpected : kNotAsExpected;
 }
 
+int Worst(const Asked& asked) {
+  Scenario scenario = ReadScenarios(asked)[0];
+  OrderWish wish;
+  wish.seed = ReadSeeds(asked.seeds).first;
+  wish.plays = asked.plays, wish.jobs = std::clamp(asked.jobs, 1, 256);
+  wish.progress = ProgressLine();
+  WorstOrder found;
+  try {
+    found = FindWorstOrder(scenario, wish);
+  } catch (const std::invalid_argument& none) {
+    throw Unusable(asked.scenarios[0] + ": " + none.what());
+  }
+  if (asked.as_json) {
+    json all = {{"up", found.up.lost},       {"down", found.down.lost},    {"drawn", found.drawn},
+                {"worst", found.worst.lost}, {"order", found.worst.order}, {"plays", found.plays}};
+    std::printf("%s\n", all.dump().c_str());
+  } else {
+    std::printf("lost to troubles, in %d plays: up %.4f, down %.4f, drawn %.4f (median), worst %.4f\n",
+                found.plays, found.up.lost, found.down.lost, Median(found.drawn), found.worst.lost);
+  }
+  if (!asked.folder.empty()) WriteFile(asked.folder, WriteScenario(found.scenario));
+  return kAsExpected;
+}
+
 int Report(const Asked& asked) {
   std::vector<json> reports;
   std::istringstream lines(ReadFile(asked.scenarios[0]));
@@ -335,6 +362,13 @@
   faults->add_option("--plans", asked.plans, "write the plans there as scenarios, and play nothing");
   faults->add_option("--out", asked.folder, "shrink what fails, and write it there as scenarios");
   ways(faults);
+  CLI::App* worst = app.add_subcommand(
+      "worst", "the order of return after a scenario's power-loss that costs the most, in virtual time");
+  worst->add_option("scenario", asked.scenarios, "a scenario with a power-loss")->required()->expected(1);
+  days(worst);
+  worst->add_option("--plays", asked.plays, "at most")->check(CLI::Range(16, 100000))->capture_default_str();
+  worst->add_option("--jobs", asked.jobs, "threads")->capture_default_str();
+  worst->add_option("--out", asked.folder, "write the scenario with that order there");
   CLI::App* compare = app.add_subcommand(
       "compare", "two builds on the same days, in turn; differences with their 95% interval");
   compare->add_option("--builds", asked.builds, "two folders with builds, A and B")->required()->expected(2);
@@ -365,6 +399,7 @@
   try {
     if (run->parsed()) return Run(asked);
     if (faults->parsed()) return Faults(asked);
+    if (worst->parsed()) return Worst(asked);
     if (compare->parsed()) return DoCompare(asked);
     if (sweep->parsed()) return Sweep(asked);
     if (report->parsed()) return Report(asked);
--- a/lab/model/scenario.cpp
+++ b/lab/model/scenario.cpp
@@ -377,7 +377,7 @@
       {"upgrade", "part of the gateways are replaced by a new process on the same listening socket"},
       {"power-loss",
        "part of the gateways are killed in one instant; the first is back after down_s, the others in waves "
-       "of size of the fleet over for_s, by order: drawn, up or down"},
+       "of size of the fleet over for_s, by order: up, down, or drawn (with targets: as they stand there)"},
       {"starve", "part of the gateways run only size of their time, in slices of 50 ms, for for_s"},
       {"claim", "part of the gateways start anew with the number and name of gateway size, for for_s"},
       {"spoil",
--- a/lab/tests/experiment_test.cpp
+++ b/lab/tests/experiment_test.cpp
@@ -7,6 +7,7 @@
 #include "experiment/compare.h"
 #include "experiment/runner.h"
 #include "experiment/statistics.h"
+#include "experiment/worst_order.h"
 #include "report/html.h"
 #include "tiny.h"
 
@@ -107,6 +108,30 @@
   std::filesystem::remove_all(folder);
 }
 
+TEST(Experiment, TheWorstOrderOfReturnIsFoundAndPlaysAgain) {
+  Scenario day =
+      Shipped("faults", {"fleet.gateways=8", "fleet.backends=12", "day.length_s=12", "day.settle_s=4"});
+  OrderWish wish;
+  wish.plays = 64, wish.jobs = 4;
+  EXPECT_THROW(FindWorstOrder(day, wish), std::invalid_argument);
+  EventFigures loss;
+  loss.kind = "power-loss", loss.at_s = {4, 4}, loss.for_s = {4, 4}, loss.down_s = {0.5, 0.5};
+  loss.size = {0.125, 0.125}, loss.targets = {0, 1, 2, 3, 4, 5, 6, 7};
+  day.events = {loss};
+  WorstOrder found = FindWorstOrder(day, wish);
+  EXPECT_EQ(found.plays, 64);
+  EXPECT_GE(found.worst.lost, std::max(found.up.lost, found.down.lost));
+  EXPECT_GE(found.worst.lost, *std::max_element(found.drawn.begin(), found.drawn.end()));
+  EXPECT_GT(found.worst.lost, std::min(found.up.lost, found.down.lost));
+  EXPECT_EQ(FindWorstOrder(day, wish).worst.order, found.worst.order);
+  // What is written is that day.
+  ReadScenario read = ParseScenario(WriteScenario(found.scenario));
+  ASSERT_TRUE(read.faults.empty()) << read.faults[0].why;
+  Batch batch;
+  batch.scenarios = {read.scenario};
+  EXPECT_DOUBLE_EQ(Play(batch)[0]["lost_to_troubles"], found.worst.lost);
+}
+
 TEST(Report, ThePageStandsAloneAndEscapesWhatItIsGiven) {
   Batch batch = Days({"zone"}, 1, 1);
   batch.with_history = true;
