Membership's core: returns, lists that differ, floods and claims; one narrow reading of it

Cause: the core knew no return from a drain, dropped whole datagrams that named a number beyond its own list (so that a fleet whose lists differ for a while would tear), let one sender take all of its answers, and had no word for another that speaks with its number.

Change: Return and Resize; words beyond the list are skipped and counted; a sender is listened to up to half of our pace; who speaks with our number is named and leaves us cut off; whoever left goes on asking, so that a drained gateway sees the fleet; Reading is what a consumer may know, with its age.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -27,6 +27,9 @@
 constexpr size_t kDeadEach = 4;       // one period in so many, a dead member is pinged too
 constexpr int kLately = 12;           // periods: as long as a word takes to reach all of 3,000 with margin
 constexpr double kAgree = 0.95;
+// An honest member spreads its pace over the fleet. One that sends us more than half of it is not listened to
+// beyond that, so that at least half of our own pace is left to the others.
+constexpr double kFlood = 0.5;
 
 double Magnitude(size_t members) { return std::max(1.0, std::log10(static_cast<double>(members))); }
 
@@ -49,7 +52,7 @@
       view_(settings.members, settings.self, now),
       random_(settings.seed),
       last_(settings.members),
-      tokens_(settings.in_per_s * settings.share),
+      tokens_(Rate()),
       tokens_at_(now) {
   // Members that start in one instant don't probe in one.
   next_period_ = now + static_cast<Micros>(Below(static_cast<size_t>(period_)));
@@ -169,7 +172,6 @@
 
 void Membership::BeginPeriod(Micros now, Actions* out) {
   next_period_ = now + period_ * (1 + health_);
-  if (left_) return;
   if (Below(kDeadEach) == 0 && view_.Count(State::kDead) > 0) {
     size_t at = Below(view_.Count(State::kDead));
     for (size_t m = 0; m < settings_.members; ++m) {
@@ -230,8 +232,7 @@
   Apply(now, word, out);
 }
 
-void Membership::Refute(Micros now, uint32_t above, Actions* out) {
-  (void)out;
+void Membership::Refute(Micros now, uint32_t above) {
   if (left_) return;
   Update self = view_.WordOn(settings_.self);
   self.incarnation = std::min(kMostIncarnation, above + 1);
@@ -248,7 +249,7 @@
     bool other = update.incarnation > self.incarnation ||
                  (update.incarnation == self.incarnation && update.about != self.about);
     if (update.state == State::kSuspect && accused) health_ = std::min(kMostHealth, health_ + 1);
-    if (accused || other) Refute(now, update.incarnation, out);
+    if (accused || other) Refute(now, update.incarnation);
     return;
   }
   const Entry before = view_.At(update.member);
@@ -269,24 +270,46 @@
   if (confirms && !newer) view_.Confirm(update.member, update.by);
 }
 
+bool Membership::Floods(Micros now, Last* sender) const {
+  double gained = kFlood * Rate() * 1e-6 * static_cast<double>(now - sender->tokens_at);
+  sender->tokens = sender->at < 0 ? Rate() : std::min(Rate(), sender->tokens + gained);
+  sender->tokens_at = now;
+  if (sender->tokens < 1) return true;
+  sender->tokens -= 1;
+  return false;
+}
+
 void Membership::Heard(Micros now, int from, std::span<const uint8_t> bytes, Actions* out) {
-  if (from < 0 || from >= static_cast<int>(settings_.members) || from == settings_.self) {
+  if (from < 0 || from >= static_cast<int>(settings_.members)) {
     ++counts_.strangers;
     return;
   }
+  Last& sender = last_[static_cast<size_t>(from)];
+  if (Floods(now, &sender)) {
+    ++counts_.flooded;
+    return;
+  }
   Fault fault = Fault::kNone;
-  std::optional<Message> read = Read(bytes, settings_.members, &fault);
+  std::optional<Message> read = membership::Read(bytes, settings_.members, &fault);
   if (!read) {
     ++counts_.bad[static_cast<size_t>(fault)];
     return;
   }
-  const Message& m = *read;
+  Message& m = *read;
   if (m.from != from) {
     ++counts_.misnumbered;
     return;
   }
+  sender.at = now, sender.digest = m.digest;
+  if (from == settings_.self) {
+    ++counts_.claimed;
+    claimed_at_ = now;
+    return;
+  }
   ++counts_.heard;
-  last_[m.from] = {now, m.digest};
+  // Where lists of peers differ for a while, what is said of others is no use here, and no fault.
+  counts_.beyond += std::erase_if(
+      m.updates, [&](const Update& u) { return u.member >= settings_.members || u.by >= settings_.members; });
   for (const Update& update : m.updates) Apply(now, update, out);
   switch (m.kind) {
     case Kind::kPing: {
@@ -349,7 +372,7 @@
 }
 
 void Membership::Repair(Micros now, uint16_t with, uint64_t digest, Actions* out) {
-  if (digest == view_.digest() || now < next_repair_ || left_) return;
+  if (digest == view_.digest() || now < next_repair_) return;
   next_repair_ = now + period_;
   Message digests;
   digests.kind = Kind::kDigests;
@@ -378,8 +401,7 @@
 
 bool Membership::Send(Micros now, uint16_t to, Message m, Actions* out) {
   // Nobody sends more than its share, so nobody is sent more on average, whatever goes on.
-  double rate = settings_.in_per_s * settings_.share;
-  tokens_ = std::min(rate, tokens_ + rate * 1e-6 * static_cast<double>(now - tokens_at_));
+  tokens_ = std::min(Rate(), tokens_ + Rate() * 1e-6 * static_cast<double>(now - tokens_at_));
   tokens_at_ = now;
   if (tokens_ < 1) {
     ++counts_.paced;
@@ -416,19 +438,46 @@
   }
 }
 
-void Membership::Tell(Micros now, const About& about, Actions* out) {
-  (void)out;
+void Membership::Return(Micros now) {
+  if (!left_) return;
+  left_ = false;
+  Refute(now, view_.At(settings_.self).incarnation);
+}
+
+void Membership::Resize(Micros now, size_t members) {
+  settings_.members = members;
+  view_.Resize(members, now);
+  last_.resize(members);
+  order_.clear();
+  turn_ = 0;
+  if (probe_.target >= members) probe_.out = false;
+  std::erase_if(suspicions_, [&](const auto& one) { return one.first >= members; });
+  std::erase_if(relays_, [&](const Relay& r) { return r.asker >= members || r.target >= members; });
+}
+
+void Membership::Tell(Micros now, const About& about) {
+  if (settings_.about == about) return;
+  settings_.about = about;
+  if (left_) return;  // said on its return
   Update self = view_.WordOn(settings_.self);
-  if (left_ || self.about == about) return;
-  self.about = settings_.about = about;
+  self.about = about;
   self.incarnation = std::min(kMostIncarnation, self.incarnation + 1);
   view_.Take(self, now);
 }
 
+Reading Membership::Read(Micros now) const {
+  Micros heard = started_;
+  for (size_t m = 0; m < last_.size(); ++m) {
+    if (m != settings_.self) heard = std::max(heard, last_[m].at);
+  }
+  return {Judge(now), now - heard, Agreement(now), view_.Count(State::kAlive) + view_.Count(State::kSuspect)};
+}
+
 double Membership::Agreement(Micros now) const {
   size_t lately = 0, same = 0;
-  for (const Last& last : last_) {
-    if (last.at < 0 || last.at + kLately * period_ < now) continue;
+  for (size_t m = 0; m < last_.size(); ++m) {
+    const Last& last = last_[m];
+    if (m == settings_.self || last.at < 0 || last.at + kLately * period_ < now) continue;
     ++lately;
     same += last.digest == view_.digest() ? 1 : 0;
   }
@@ -445,6 +494,8 @@
     heard_of += e.state <= State::kSuspect && e.incarnation > 0 ? 1 : 0;
     lately |= last_[m].at >= 0 && last_[m].at + kLately * period_ >= now;
   }
+  // Another that speaks with our number is heard in our place: nobody listens to us.
+  if (claimed_at_ >= 0 && claimed_at_ + kLately * period_ >= now) return Verdict::kCutOff;
   if (expected <= 1) return Verdict::kConverged;
   bool few = heard_of * 2 <= expected || !lately;
   if (few) return now - started_ < kLately * period_ ? Verdict::kUnknown : Verdict::kCutOff;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -62,6 +62,20 @@
   uint64_t held_up = 0;                     // times this member itself was late
   std::array<uint64_t, 7> bad{};            // by Fault
   uint64_t strangers = 0, misnumbered = 0;  // from no peer's address; a number that is not that address's
+  uint64_t flooded = 0;                     // beyond what an honest sender may send
+  uint64_t beyond = 0;                      // words on numbers that our list of peers does not have
+  uint64_t claimed = 0;                     // from our own address, with our own number, and not by us
+};
+
+// What a consumer may know of the fleet, and how old that is. A stated rule goes with it: membership alone
+// never widens a quota, a ceiling or a cold backend's budget, and where it is not Usable() a consumer behaves
+// as with membership off.
+struct Reading {
+  Verdict verdict = Verdict::kUnknown;
+  Micros age = 0;        // since any other was last heard; since the start where none was
+  double agreement = 0;  // of the members heard lately, the share whose views are the same as ours
+  size_t there = 0;      // alive or suspect, ourselves included
+  bool Usable() const { return verdict == Verdict::kConverged || verdict == Verdict::kDiverged; }
 };
 
 class Membership {
@@ -73,15 +87,21 @@
   // Has to be called at NextAt() or later; earlier calls do nothing.
   void Tick(Micros now, Actions* out);
   Micros NextAt() const;
-  // Planned: the others are told *left*; afterwards it only answers.
+  // Planned: the others are told *left* and ask it no more; it goes on asking, so that it sees the fleet.
   void Leave(Micros now, Actions* out);
+  // Back from a planned leave, under a new incarnation.
+  void Return(Micros now);
+  // Another list of peers: numbers from `members` on are forgotten, new ones presumed alive. `self` stays
+  // below it.
+  void Resize(Micros now, size_t members);
   // What it runs has changed: a new incarnation says so.
-  void Tell(Micros now, const About& about, Actions* out);
+  void Tell(Micros now, const About& about);
 
   const View& view() const { return view_; }
   Verdict Judge(Micros now) const;
-  // Of the members heard lately, the share whose views were the same as ours is now; 0 where none was heard.
-  double Agreement(Micros now) const;
+  Reading Read(Micros now) const;
+  // When that member's last datagram came; -1: none has.
+  Micros HeardAt(size_t member) const { return last_[member].at; }
   const Counts& counts() const { return counts_; }
   int health() const { return health_; }  // 0: well; each step slows its probes by one period
   Micros period() const { return period_; }
@@ -110,10 +130,12 @@
   struct Last {  // what was heard of a member
     Micros at = -1;
     uint64_t digest = 0;
+    double tokens = 0;  // datagrams that it may still send us
+    Micros tokens_at = 0;
   };
 
   void Apply(Micros now, const Update& update, Actions* out);
-  void Refute(Micros now, uint32_t above, Actions* out);
+  void Refute(Micros now, uint32_t above);
   void Suspect(Micros now, uint16_t member, Actions* out);
   Micros EndOf(const Suspicion& suspicion) const;
   Micros AskOf(const Suspicion& suspicion) const;
@@ -125,6 +147,9 @@
   void Repair(Micros now, uint16_t with, uint64_t digest, Actions* out);
   void Compare(Micros now, const Message& message, Actions* out);
   bool Send(Micros now, uint16_t to, Message message, Actions* out);
+  bool Floods(Micros now, Last* sender) const;
+  double Agreement(Micros now) const;
+  double Rate() const { return settings_.in_per_s * settings_.share; }
   int NextTarget();
   std::vector<uint16_t> SomeOthers(size_t most, int but);
   bool There(size_t member) const;
@@ -133,6 +158,7 @@
 
   Settings settings_;
   const Micros period_, started_;
+  Micros claimed_at_ = -1;  // when somebody else last spoke with our number
   View view_;
   std::mt19937_64 random_;
   std::vector<uint16_t> order_;
--- a/src/membership/message.cpp
+++ b/src/membership/message.cpp
@@ -35,7 +35,7 @@
   std::span<const uint8_t> left;
 };
 
-Fault ReadUpdates(std::span<const uint8_t> section, size_t members, std::vector<Update>* updates) {
+Fault ReadUpdates(std::span<const uint8_t> section, std::vector<Update>* updates) {
   if (section.size() % kUpdate != 0) return Fault::kSection;
   for (Reader reader(section); !reader.left.empty();) {
     Update u;
@@ -46,7 +46,7 @@
     u.about.program = reader.Take<uint32_t>();
     u.about.config = reader.Take<uint32_t>();
     if (state > static_cast<uint8_t>(State::kLeft)) return Fault::kSection;
-    if (u.member >= members || u.by >= members) return Fault::kNumber;
+    if (u.member >= kMostMembers || u.by >= kMostMembers) return Fault::kNumber;
     if (u.incarnation > kMostIncarnation) return Fault::kIncarnation;
     u.state = static_cast<State>(state);
     updates->push_back(u);
@@ -120,7 +120,7 @@
     std::span<const uint8_t> content = reader.left.first(length);
     reader.left = reader.left.subspan(length);
     if (section == kUpdates) {
-      Fault wrong = ReadUpdates(content, members, &m.updates);
+      Fault wrong = ReadUpdates(content, &m.updates);
       if (wrong != Fault::kNone) return no(wrong);
     } else if (section == kPartDigests) {
       if (content.size() != kParts * kPart || !m.parts.empty()) return no(Fault::kSection);
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -64,8 +64,8 @@
 
 enum class Fault { kNone, kLength, kFormat, kKind, kNumber, kIncarnation, kSection };
 const char* Name(Fault fault);
-// None where the bytes are no such message; `fault` says why. Nothing in it is trusted but its form: numbers
-// are below `members`.
+// None where the bytes are no such message; `fault` says why. Nothing in it is trusted but its form: sender
+// and target are below `members`, what words speak of below kMostMembers.
 std::optional<Message> Read(std::span<const uint8_t> bytes, size_t members, Fault* fault);
 
 }  // namespace lemonchute::membership
--- a/src/membership/view.cpp
+++ b/src/membership/view.cpp
@@ -22,9 +22,15 @@
 
 }  // namespace
 
-View::View(size_t members, uint16_t self, Micros now) : self_(self), entries_(members) {
-  for (size_t m = 0; m < members; ++m) {
-    entries_[m].by = self, entries_[m].since = now;
+View::View(size_t members, uint16_t self, Micros now) : self_(self) { Resize(members, now); }
+
+void View::Resize(size_t members, Micros now) {
+  size_t had = entries_.size();
+  for (size_t m = members; m < had; ++m) Count(m, -1);
+  std::erase_if(rumours_, [&](const Rumour& r) { return r.member >= members; });
+  entries_.resize(members);
+  for (size_t m = had; m < members; ++m) {
+    entries_[m].by = self_, entries_[m].since = now;
     Count(m, 1);
   }
 }
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -25,6 +25,8 @@
   // All are presumed alive at incarnation 0, as the list of peers names them.
   View(size_t members, uint16_t self, Micros now);
 
+  // Another list of peers; `self` is below `members`.
+  void Resize(size_t members, Micros now);
   // Takes a word where it is newer than what is believed; whether it was. About itself a member is not told
   // here (Membership refutes).
   bool Take(const Update& update, Micros now);
