Members: gateways know of each other, switched on by extensions.membership

Change: net/members joins the core with a socket on peer_listen, the clock, the log, the figures and GET /control/members; one line each in the gateway. The configuration's check names what it needs. Of a gateway's processes the one that holds the address speaks: at SIGTERM beside another process it lets go and says nothing, alone it tells that it leaves. Switched on and off, and given other peers, at SIGHUP.

Seen on the way: SIGTERM within 0.1 s of the other process's start told a leave, as the look for it was that old; it is looked for anew now. Under ASan a slow start was taken for a death, which it is: the tests count deaths from where all agree.

--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/endian/conversion.hpp>
 #include <boost/uuid/name_generator_sha1.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <charconv>
@@ -14,8 +15,10 @@
 
 using nlohmann::json;
 
-constexpr double kMostWhole = 1e9;  // what the settings' parser takes of whole numbers
-constexpr size_t kMostItems = 255;  // classes, plans: a class is one byte on the simulator's wire
+constexpr double kMostWhole = 1e9;    // what the settings' parser takes of whole numbers
+constexpr double kLeastShare = 0.05;  // of what a member takes in: a probe every 2 s at the fleet's limit
+constexpr size_t kMostPeers = 8192;   // as the datagrams' form has it
+constexpr size_t kMostItems = 255;    // classes, plans: a class is one byte on the simulator's wire
 
 enum class Kind { kText, kNumber, kWhole, kFlag };
 enum class Sign { kAny, kNotNegative, kPositive };
@@ -212,7 +215,54 @@
     auto it = document.find("extensions");
     if (it == document.end()) return;
     if (!it->is_object()) return WrongKind("/extensions", "an object", *it);
-    for (const auto& [key, value] : it->items()) Bad(Step("/extensions", key), "is not known");
+    for (const auto& [key, value] : it->items()) {
+      if (key == "membership") {
+        Membership(value, document);
+      } else {
+        Bad(Step("/extensions", key), "is not known");
+      }
+    }
+  }
+
+  // What it needs besides its own key: addresses, one for each gateway of the settings, and a pace.
+  void Membership(const json& wish, const json& document) {
+    const std::string at = "/extensions/membership";
+    if (!wish.is_object()) return WrongKind(at, "an object", wish);
+    for (const auto& [key, value] : wish.items()) {
+      if (key != "share") {
+        Bad(Step(at, key), "is not known");
+      } else if (!value.is_number() || value.get<double>() < kLeastShare || value.get<double>() > 1) {
+        Bad(Step(at, key), "must be a number from 0.05 to 1");
+      }
+    }
+    PeerAddress(document.contains("peer_listen") ? document.at("peer_listen") : json(), "/peer_listen", true);
+    const json* settings = document.contains("settings") ? &document.at("settings") : nullptr;
+    auto pace = settings != nullptr && settings->is_object() && settings->contains("specifics")
+                    ? Number(settings->at("specifics"), "peer-in-per-s")
+                    : std::nullopt;
+    if (!pace || !(*pace >= 1 && *pace <= 1e6))
+      Bad("/settings/specifics/peer-in-per-s",
+          "must be a number from 1 to 1000000 for extensions.membership");
+    const json* peers = List(document, "", "peers");
+    if (peers == nullptr || settings == nullptr) return;
+    auto total = Number(*settings, "peers-total"), me = Number(*settings, "me");
+    if (!total || *total != static_cast<double>(peers->size()) || peers->size() > kMostPeers)
+      Bad("/peers", "must hold one address for each of settings/peers-total, at most " +
+                        std::to_string(kMostPeers) + ", and holds " + std::to_string(peers->size()));
+    if (!me || *me >= static_cast<double>(peers->size()))
+      Bad("/settings/me", "must be a place in /peers for extensions.membership");
+    std::set<std::string> seen;
+    for (size_t i = 0; i < peers->size(); ++i) {
+      std::string where = Step("/peers", i);
+      if (PeerAddress((*peers)[i], where, false) && !seen.insert((*peers)[i].get<std::string>()).second)
+        Bad(where, "occurs twice: " + Shown((*peers)[i].get_ref<const std::string&>()));
+    }
+  }
+  bool PeerAddress(const json& value, const std::string& at, bool any_port) {
+    auto address = value.is_string() ? ReadAddress(value.get_ref<const std::string&>()) : std::nullopt;
+    bool sound = address && address->host.is_v4() && (any_port || address->port != 0);
+    if (!sound) Bad(at, "must be an IPv4 address such as 10.0.0.4:7946 for extensions.membership");
+    return sound;
   }
 
   // A peer's address at which this process itself listens, or two doors of its own at one address.
@@ -466,13 +516,34 @@
 
 bool OwnKey(std::string_view key) { return key == "seed" || key == "known" || key == "ops"; }
 
+namespace {
+
+boost::uuids::uuid IdOf(const json& value) {
+  boost::uuids::name_generator_sha1 generator(boost::uuids::ns::oid());
+  return generator(value.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+}  // namespace
+
 std::string ContentId(const json& document) {
   json shared = json::object();
   for (const auto& [key, value] : document.items()) {
     if (!OwnKey(key)) shared[key] = value;
   }
-  boost::uuids::name_generator_sha1 generator(boost::uuids::ns::oid());
-  return boost::uuids::to_string(generator(shared.dump(-1, ' ', false, json::error_handler_t::replace)));
+  return boost::uuids::to_string(IdOf(shared));
+}
+
+uint32_t FleetId(const json& document) {
+  json common = json::object();
+  for (const char* key : {"limits", "peers", "extensions", "settings"}) {
+    if (document.contains(key)) common[key] = document.at(key);
+  }
+  if (auto settings = common.find("settings"); settings != common.end() && settings->is_object()) {
+    settings->erase("me");
+    settings->erase("zone");
+  }
+  boost::uuids::uuid id = IdOf(common);
+  return boost::endian::load_big_u32(&*id.begin());
 }
 
 }  // namespace lemonchute::config
--- a/src/config/check.h
+++ b/src/config/check.h
@@ -45,6 +45,10 @@
 // its text without the process's own keys.
 std::string ContentId(const nlohmann::json& document);
 
+// What all gateways of a fleet have in common, for comparing them: the first 32 bits of such an id of
+// `limits`, `peers`, `extensions` and of the settings without a gateway's own number and zone.
+uint32_t FleetId(const nlohmann::json& document);
+
 }  // namespace lemonchute::config
 
 #endif  // LEMONCHUTE_CONFIG_CHECK_H_
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -10,6 +10,8 @@
 using lemonchute::policy::WireError;
 using nlohmann::json;
 
+// A quarter of what a member takes: what else gateways say to one another has the rest.
+constexpr double kMembershipShare = 0.25;
 constexpr int kPassedSocket = 4;  // where its variable is set to something else than a number
 
 void FlattenInto(const std::string& path, const json& value, std::string* out) {
@@ -118,6 +120,27 @@
   return {address->host, address->port};
 }
 
+namespace {
+
+// The document has been found sound, so this only picks up.
+PeerConfig ParsePeers(const json& all) {
+  auto endpoint = [&](const char* key, const json& text) {
+    tcp::endpoint at = ParseAddress(key, text.get<std::string>());
+    return boost::asio::ip::udp::endpoint(at.address(), at.port());
+  };
+  const json& settings = all.at("settings");
+  PeerConfig peers;
+  peers.self = settings.at("me").get<uint16_t>();
+  peers.listen = endpoint("peer_listen", all.at("peer_listen"));
+  for (const json& peer : all.at("peers")) peers.peers.push_back(endpoint("peers", peer));
+  peers.in_per_s = settings.at("specifics").at("peer-in-per-s").get<double>();
+  peers.share = all.at("extensions").at("membership").value("share", kMembershipShare);
+  peers.config = config::FleetId(all);
+  return peers;
+}
+
+}  // namespace
+
 Config ParseConfig(const json& all) {
   if (!all.is_object()) throw WireError("the configuration is not a JSON object");
   Config config;
@@ -154,6 +177,8 @@
   config.settings = lemonchute::policy::ParseSettings(flat);
   config.site = lemonchute::policy::ParseSite(flat);
   if (config.settings.may_count && !config.has_counter) throw WireError("setting is missing: counter");
+  if (all.contains("extensions") && all.at("extensions").contains("membership"))
+    config.membership = ParsePeers(all);
   return config;
 }
 
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -3,6 +3,7 @@
 #define LEMONCHUTE_NET_CONFIG_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -16,6 +17,15 @@
 
 using boost::asio::ip::tcp;
 
+// What speaking to the other gateways needs.
+struct PeerConfig {
+  uint16_t self = 0;
+  boost::asio::ip::udp::endpoint listen;
+  std::vector<boost::asio::ip::udp::endpoint> peers;  // by number
+  double in_per_s = 0, share = 0;                     // datagrams that each takes; membership's part of them
+  uint32_t config = 0;                                // id of what the fleet's configurations have in common
+};
+
 struct Config {
   std::string name;
   tcp::endpoint listen;
@@ -26,6 +36,7 @@
   uint64_t seed = 0;
   int sockets = 1024;
   int memory_mb = 192;
+  std::optional<PeerConfig> membership;  // none: off
   int passed_socket = -1;  // a descriptor that listens for clients already, held by other processes too
   std::string folder;      // for files that the next process finds; empty: none
   nlohmann::json known;    // null where the gateway has no list yet
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -144,6 +144,7 @@
             ready_ = true;  // by the list as last known
           },
           config.settings.gateways, config.seed),
+      members_(io),
       timer_(io),
       sibling_timer_(io),
       drain_timer_(io),
@@ -177,6 +178,7 @@
   if (!config.folder.empty()) WatchSibling();
   if (config.ops) ops_.emplace(io, *config.ops, [this](const OpsCall& call) { return OnOps(call); });
   discovery_.Start();
+  members_.Follow(config);
   keeper_->Started([this](const nlohmann::json& document) { return Prepare(document); });
 }
 
@@ -555,6 +557,7 @@
   discovery_.SetFleet(config_->settings.gateways);
   discovery_.SetSite({config_, &site});
   discovery_.Move(config_->discovery);
+  members_.Follow(*config_);
   if (!config_->has_counter) return;  // one that is dropped is not called any more
   if (!counter_) {
     counter_.swap(change.counter);
@@ -615,6 +618,7 @@
   }
   if (path == "/control/counters") return get([&] { return OpsAnswer{200, Figures()}; });
   if (auto answer = keeper_->OnCall(call)) return *answer;
+  if (auto answer = members_.OnCall(call)) return *answer;
   if (path == "/control/out-of-service") return put(&Gateway::OutOfService);
   if (path == "/control/in-service") return put(&Gateway::InService);
   if (path.substr(0, kBackends.size()) == kBackends) {
@@ -644,6 +648,7 @@
   line("pool_size", listed_.size());
   line("pool_ejected", static_cast<uint64_t>(balancer_->Avoided(Now())));
   keeper_->Figures(line);
+  members_.Figures(line);
   return text;
 }
 
@@ -688,6 +693,7 @@
 void Gateway::Drain() {
   if (draining_) return;
   draining_ = true;
+  members_.Leave(false);
   drain_timer_.expires_after(Seconds(kStillComingS));
   drain_timer_.async_wait([this](error_code cancelled) {
     if (cancelled) return;
@@ -707,6 +713,7 @@
 
 void Gateway::Serve() {
   draining_ = false;
+  members_.Return();
   drain_timer_.cancel();
   server_.AskToClose(false);
 }
@@ -715,6 +722,7 @@
   if (shutdown_at_) return;
   shutdown_at_ = Clock::now();
   keeper_->Close();
+  members_.Leave(sibling_.Alive());
   Drain();
   server_.AskToClose(true);               // there is no way back, so at once
   if (adopted_) server_.StopAccepting();  // what waits is the next process's
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -20,6 +20,7 @@
 #include "net/counters.h"
 #include "net/discovery_client.h"
 #include "net/maintenance.h"
+#include "net/members.h"
 #include "net/ops_server.h"
 #include "net/sibling.h"
 
@@ -144,6 +145,7 @@
   ClientServer server_;
   std::unique_ptr<CounterClient> counter_;
   DiscoveryClient discovery_;
+  Members members_;
   std::unordered_map<uint32_t, Held> held_;
   std::unordered_map<uint64_t, uint32_t> by_connection_;  // requests that are not answered
   uint32_t last_id_ = 0;
--- /dev/null
+++ b/tests/peer_fleet.h
@@ -0,0 +1,219 @@
+// Several gateways that speak to one another, and the network between them, held by the test: it carries each
+// datagram, or not, and sees who sent how much.
+#ifndef LEMONCHUTE_TESTS_PEER_FLEET_H_
+#define LEMONCHUTE_TESTS_PEER_FLEET_H_
+
+#include <numeric>
+
+#include "gateway_site.h"
+
+namespace rig {
+
+// For each number an address at which the others find it (`peers`).
+class PeerNet {
+ public:
+  explicit PeerNet(int members) : listens_(static_cast<size_t>(members), 0), sent_(listens_.size(), 0) {
+    for (int m = 0; m < members; ++m) sockets_.push_back(Open(&ports_.emplace_back()));
+    stranger_ = Open(nullptr);
+    if (pipe(ends_) != 0) ADD_FAILURE() << "pipe";
+    thread_ = std::thread([this] { Run(); });
+  }
+  ~PeerNet() {
+    (void)!write(ends_[1], "x", 1);
+    thread_.join();
+    for (int fd : sockets_) close(fd);
+    for (int fd : {stranger_, ends_[0], ends_[1]}) close(fd);
+  }
+  json Addresses(int members) const {
+    json all = json::array();
+    for (int m = 0; m < members; ++m)
+      all.push_back("127.0.0.1:" + std::to_string(ports_[static_cast<size_t>(m)]));
+    return all;
+  }
+  // Where that number listens; 0: not known yet.
+  int Listen(int m) {
+    std::lock_guard lock(mutex_);
+    return listens_[static_cast<size_t>(m)];
+  }
+  void SetListen(int m, int port) {
+    std::lock_guard lock(mutex_);
+    listens_[static_cast<size_t>(m)] = port;
+  }
+  void SetPasses(std::function<bool(int from, int to)> passes) {
+    std::lock_guard lock(mutex_);
+    passes_ = std::move(passes);
+  }
+  long Sent() {
+    std::lock_guard lock(mutex_);
+    return std::accumulate(sent_.begin(), sent_.end(), 0L);
+  }
+  size_t longest() {
+    std::lock_guard lock(mutex_);
+    return longest_;
+  }
+  // A datagram that number `from` has sent, as it was on the way last.
+  std::string Last(int from) {
+    std::lock_guard lock(mutex_);
+    return last_[from];
+  }
+  // As if member `from` had sent it; -1: from an address that is nobody's.
+  void Inject(int from, int to, const std::string& bytes) {
+    sockaddr_in at;
+    close(Loopback(&at, Listen(to)));
+    sendto(from < 0 ? stranger_ : sockets_[static_cast<size_t>(from)], bytes.data(), bytes.size(), 0,
+           reinterpret_cast<sockaddr*>(&at), sizeof(at));
+  }
+
+ private:
+  static int Open(int* port) {
+    sockaddr_in at;
+    close(Loopback(&at, 0));
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    EXPECT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    socklen_t size = sizeof(at);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+    if (port != nullptr) *port = ntohs(at.sin_port);
+    return fd;
+  }
+  void Run() {
+    std::vector<pollfd> all;
+    for (int fd : sockets_) all.push_back({fd, POLLIN, 0});
+    all.push_back({ends_[0], POLLIN, 0});
+    for (;;) {
+      poll(all.data(), all.size(), -1);
+      if (all.back().revents != 0) return;
+      for (size_t to = 0; to < sockets_.size(); ++to) {
+        if (all[to].revents != 0) Carry(static_cast<int>(to));
+      }
+    }
+  }
+  void Carry(int to) {
+    char bytes[2048];
+    sockaddr_in sender{};
+    socklen_t size = sizeof(sender);
+    ssize_t n = recvfrom(sockets_[static_cast<size_t>(to)], bytes, sizeof(bytes), MSG_DONTWAIT,
+                         reinterpret_cast<sockaddr*>(&sender), &size);
+    if (n < 0) return;
+    std::lock_guard lock(mutex_);
+    auto at = std::find(listens_.begin(), listens_.end(), ntohs(sender.sin_port));
+    if (at == listens_.end()) return;
+    auto from = static_cast<int>(at - listens_.begin());
+    ++sent_[static_cast<size_t>(from)];
+    longest_ = std::max(longest_, static_cast<size_t>(n));
+    last_[from].assign(bytes, static_cast<size_t>(n));
+    int port = listens_[static_cast<size_t>(to)];
+    if (port == 0 || !passes_(from, to)) return;
+    sockaddr_in there;
+    close(Loopback(&there, port));
+    sendto(sockets_[static_cast<size_t>(from)], bytes, static_cast<size_t>(n), 0,
+           reinterpret_cast<sockaddr*>(&there), sizeof(there));
+  }
+
+  std::vector<int> sockets_, ports_;
+  int stranger_ = -1, ends_[2] = {-1, -1};
+  std::mutex mutex_;
+  std::vector<int> listens_;
+  std::vector<long> sent_;
+  size_t longest_ = 0;
+  std::map<int, std::string> last_;
+  std::function<bool(int, int)> passes_ = [](int, int) { return true; };
+  std::thread thread_;
+};
+
+// Gateways 0 to `members` - 1 with a folder each. What they are asked goes to their doors.
+class PeerFleet {
+ public:
+  explicit PeerFleet(int members, json extensions = {{"membership", json::object()}})
+      : net(members), extensions_(std::move(extensions)), folders_(static_cast<size_t>(members)) {
+    discovery_.Set(json::array({Entry("s1", backend_.port())}));
+    gateways.resize(static_cast<size_t>(members));
+  }
+  json ConfigOf(int m, int members) {
+    json config = Config(discovery_.port(), counter_.port());
+    config["name"] = "n" + std::to_string(m);
+    config["settings"]["me"] = m, config["settings"]["peers-total"] = members;
+    // A period of 0.1 s, so that what has to be seen is soon seen.
+    config["settings"]["specifics"]["peer-in-per-s"] = 240;
+    config["peer_listen"] = "127.0.0.1:" + std::to_string(net.Listen(m));
+    config["peers"] = net.Addresses(members);
+    if (!extensions_.is_null()) config["extensions"] = extensions_;
+    return config;
+  }
+  json ConfigOf(int m) { return ConfigOf(m, static_cast<int>(gateways.size())); }
+  std::unique_ptr<Process> NewProcess(const json& config, int m) {
+    return std::make_unique<Process>(
+        config, LEMONCHUTE_GATEWAY, 0,
+        Process::Environment{{"LB_OPS", "127.0.0.1:0"}, {"TMPDIR", folders_[static_cast<size_t>(m)].path()}});
+  }
+  void Start(int m, const json& config) {
+    auto& gateway = gateways[static_cast<size_t>(m)];
+    gateway = NewProcess(config, m);
+    EXPECT_NE(gateway->port, 0) << gateway->line;
+    size_t at = gateway->earlier.find("speaks at 127.0.0.1:");
+    if (at != std::string::npos)
+      net.SetListen(m, std::atoi(gateway->earlier.c_str() + gateway->earlier.find(':', at) + 1));
+  }
+  void Start(int m) { Start(m, ConfigOf(m)); }
+  void StartAll() {
+    for (size_t m = 0; m < gateways.size(); ++m) Start(static_cast<int>(m));
+  }
+  void Kill(int m) {
+    auto& gateway = gateways[static_cast<size_t>(m)];
+    gateway->Signal(SIGKILL);
+    EXPECT_EQ(gateway->Exit(), -SIGKILL);
+    gateway.reset();
+  }
+  json Members(int m) const { return MembersOf(*gateways[static_cast<size_t>(m)]); }
+  static json MembersOf(const Process& process) {
+    return json::parse(Call(process.ops_port, "GET", "/control/members").body, nullptr, false);
+  }
+  // What `at` believes of `m`.
+  std::string State(int at, int m) const {
+    json members = Members(at).value("members", json::array());
+    return static_cast<size_t>(m) < members.size() ? members[static_cast<size_t>(m)].at("state") : "";
+  }
+  bool All(const std::vector<int>& at, int m, const std::string& state) const {
+    return std::all_of(at.begin(), at.end(), [&](int one) { return State(one, m) == state; });
+  }
+  // How often each has taken anyone for dead.
+  std::vector<long> Deaths(const std::vector<int>& at) const {
+    std::vector<long> all;
+    for (int one : at) all.push_back(Figure(gateways[static_cast<size_t>(one)]->ops_port, "members_deaths"));
+    return all;
+  }
+  // One digest, and that verdict everywhere.
+  bool Agree(const std::vector<int>& at, const std::string& verdict = "converged") const {
+    json first = Members(at[0]);
+    return std::all_of(at.begin(), at.end(), [&](int one) {
+      json view = Members(one);
+      return view.value("verdict", "") == verdict && view.at("digest") == first.value("digest", "");
+    });
+  }
+
+  PeerNet net;
+  std::vector<std::unique_ptr<Process>> gateways;
+
+ private:
+  json extensions_;
+  std::vector<Folder> folders_;
+  Counter counter_{[](const std::string&, double) { return Bulk("0"); }};
+  Backend backend_{Says(Ok("x"))};
+  Discovery discovery_;
+};
+
+// Asks again until it holds.
+template <typename Holds>
+::testing::AssertionResult Await(const char* what, Holds holds) {
+  auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(kLimitS);
+  while (std::chrono::steady_clock::now() < limit) {
+    if (holds()) return ::testing::AssertionSuccess();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return ::testing::AssertionFailure() << "has not come in " << kLimitS << " s: " << what;
+}
+#define EXPECT_SOON(...) EXPECT_TRUE(Await(#__VA_ARGS__, [&] { return __VA_ARGS__; }))
+#define ASSERT_SOON(...) ASSERT_TRUE(Await(#__VA_ARGS__, [&] { return __VA_ARGS__; }))
+
+}  // namespace rig
+
+#endif  // LEMONCHUTE_TESTS_PEER_FLEET_H_
