--- a/lab/judge/rules/views.cpp
+++ b/lab/judge/rules/views.cpp
@@ -45,7 +45,13 @@
       default: continue;
     }
     switch (fact.what) {
-      case What::kView: views[who] = fact.subject; break;
+      case What::kView:
+        if (fact.subject == "none") {
+          views.erase(who);
+        } else {
+          views[who] = fact.subject;
+        }
+        break;
       case What::kEnds: views.erase(who); [[fallthrough]];
       case What::kStarts: fault = true; break;
       case What::kStops: stopped[who] = fault = true; break;
--- a/lab/tests/cuts.cmake
+++ b/lab/tests/cuts.cmake
@@ -64,3 +64,8 @@
 lab_cut(reload net/config_keeper.cpp "void ConfigKeeper::TakeHup(int tries) {"
         "void ConfigKeeper::TakeHup(int tries) {
   if (tries >= 0) return;")
+# Between gateways.
+lab_cut(storm net/members.cpp "    send_failed_ += failed ? 1 : 0;"
+        "    for (int i = 0; i < 40; ++i) socket_.send_to(asio::buffer(datagram.bytes), config_->peers[datagram.to], 0, failed);")
+lab_cut(blind membership/view.cpp "  if (!newer) return false;"
+        "  if (!newer || (u.state == State::kDead && self_ % 2 == 0)) return false;")
--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -144,6 +144,51 @@
   }
 }
 
+// Gateways that speak to one another, with a period of 0.1 s so that a bound of 4 s is that of 14 s at the
+// fleet's pace.
+const std::vector<std::string> kQuickMembers = {"day.length_s=16", "day.settle_s=2", "load.use=0.2",
+                                                "peers.in_per_s=240", "rules.converge_s=4"};
+
+TEST(Fleet, MembersUnderDrawnPlansComeToOneViewWithinTheirPace) {
+  FaultHunt hunt;
+  hunt.base = Shipped("members", kQuickMembers);
+  hunt.base.expect = {};
+  hunt.wish.events = 8, hunt.wish.quiet_s = 6, hunt.wish.real = true;
+  hunt.first_seed = 1, hunt.last_seed = 4, hunt.jobs = 4;
+  hunt.lab = LAB_PROGRAM, hunt.gateway = LAB_GATEWAY;
+  for (const json& one : Hunt(hunt)) {
+    EXPECT_EQ(one["failed"], "") << one["seed"] << ": " << one["report"].value("breaches", json()).dump();
+    EXPECT_GT(one["report"]["datagrams"]["arrived"], 1000);
+    EXPECT_EQ(one["report"]["datagrams"]["too_long"], 0);
+  }
+}
+
+TEST(Fleet, EachCutInMembershipIsNamedAndTheSoundOneIsNot) {
+  Keep keep;
+  Scenario day = Shipped("members", kQuickMembers);
+  day.gateways = {5, 5}, day.expect = {};
+  EventFigures death;
+  death.kind = "kill", death.at_s = {4, 4}, death.down_s = {30, 30}, death.targets = {4};
+  day.events = {death};
+  std::ofstream(keep.path + "/day.toml") << WriteScenario(day);
+  struct Case {
+    std::string program, rules;
+  };
+  const std::vector<Case> cases = {{LAB_GATEWAY, ""},
+                                   {std::string(LAB_CUTS) + "/lab_cut_storm", ";fleet: datagrams;"},
+                                   {std::string(LAB_CUTS) + "/lab_cut_blind", ";fleet: views;"}};
+  std::vector<std::future<json>> days;
+  for (const Case& c : cases)
+    days.push_back(std::async(std::launch::async, PlayMembers, c.program, keep.path + "/day.toml"));
+  for (size_t i = 0; i < cases.size(); ++i) {
+    json report = days[i].get();
+    std::string rules = Rules(report);
+    bool named = cases[i].rules.empty() ? rules == ";" : rules.find(cases[i].rules) != std::string::npos;
+    EXPECT_TRUE(named) << cases[i].program << rules
+                       << report.value("breaches", json::array()).dump().substr(0, 2000);
+  }
+}
+
 TEST(Fleet, APlantedFaultIsShrunkToThreeEventsOrFewer) {
   // The module that goes on sending to what drains: it needs a replacement of backends to be seen.
   Keep keep;
--- a/lab/tests/rules_test.cpp
+++ b/lab/tests/rules_test.cpp
@@ -84,6 +84,8 @@
       {"one after the other",
        "0 1 owns x 0 500\n500 2 owns x 0 900\n900 1 owns x\n950 1 yields x\n960 2 owns x\n", ""},
       {"an owner without an end dies", "0 1 owns x\n300 1 ends\n301 2 owns x\n", ""},
+      {"a view handed over to another process",
+       "0 1 view ab\n0 2 view ab\n100 0 fault x\n200 1 view a\n300 2 view none\n", ""},
       {"views that agree in time", "0 1 view ab\n0 2 view ab\n50 0 fault x\n100 1 view a\n1900 2 view a\n",
        ""},
       {"a view that never converges",
