Members: the program's id is read before the address is asked for, not when it is handed over

Cause: under ASan the upgrade's test saw a death on each of three runs: whoever takes the address over read its whole program file (97 MB there) for its CRC before its first answer. The file of a release is 1.9 MB, so there the wait was a few milliseconds and no test saw it.

Change: the id is read once, when the configuration switches membership on. Result: the same test under ASan passes on two runs; the other seven passed before. Ruled out: the 0.1 s between two looks for the address, which is the same in a release.

--- a/src/net/members.cpp
+++ b/src/net/members.cpp
@@ -78,6 +78,7 @@
               config_->in_per_s != next->in_per_s || config_->share != next->share;
   if (anew) End();
   config_ = next;
+  ProgramId();  // read once, here: the moment at which an address is handed over has no time for it
   numbers_.clear();
   for (size_t i = 0; i < config_->peers.size(); ++i)
     numbers_[Key(config_->peers[i])] = static_cast<uint16_t>(i);
