Budgets on two levels: a group's part lasts five asks, so that its members' outlive two lost answers

Cause: at 8% loss 90 to 96% of the whole could be used in quiet, where 95 is the goal. A member's part ends before its group's; cut from one that is two asks old it outlived one lost answer, not two.

Change: five asks for a group's part.

--- a/src/budget/fleet.cpp
+++ b/src/budget/fleet.cpp
@@ -6,6 +6,8 @@
 namespace lemonchute::budget {
 namespace {
 
+// A group's part outlives two lost answers with as much left as its members' parts need for theirs.
+constexpr int kGroupAsks = 5;
 constexpr Micros kLeastAsk = 1'000'000, kLeastVote = 12'000'000;
 
 }  // namespace
@@ -29,6 +31,8 @@
   group_.emplace(inside, now);
   // A group's pool is what the fleet's arbiter leaves it.
   for (const Spec& spec : budgets_) group_->SetPool(spec.id, 0, 0);
+  among.part_asks = kGroupAsks;
+  among.vote_term = std::max(kLeastVote, 2 * among.PartTerm());
   among.numbers_a_holder = size, among.seed = s.seed + 1;
   for (uint16_t g = 0; g < groups && among.voters.size() < s.voters; ++g)
     among.voters.push_back(static_cast<uint16_t>(g * size));
--- a/src/budget/terms.h
+++ b/src/budget/terms.h
@@ -41,10 +41,11 @@
   Micros vote_term = 12'000'000;  // of a vote, by the voter's clock; the same at all
   Micros ask_every = 1'000'000;   // a holder that wants or holds a part asks this often
   uint64_t seed = 0;
+  int part_asks = 3;
   uint16_t numbers_a_holder = 1;  // so many neighbouring numbers ask for one holder, their group
   Micros RenewEvery() const { return vote_term / 4; }
   // A part outlives two lost answers, and ends before the votes that it stands on.
-  Micros PartTerm() const { return 3 * ask_every; }
+  Micros PartTerm() const { return part_asks * ask_every; }
 };
 
 }  // namespace lemonchute::budget
