Members: switched off and on again at SIGHUP a gateway is there again, not left

Cause: seen on reading the change again. Switching off went by the same call as a drain, which remembers that the gateway is out of service; switched on again it told at once that it leaves.

Change: telling a leave and being out of service are two things. Times use the Seconds that the network code has. Result: the test that switches on and off switches on once more and finds the gateway alive; all eight tests pass.

--- a/src/net/members.cpp
+++ b/src/net/members.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "net/backend_pool.h"
 #include "net/text.h"
 
 namespace lemonchute::net {
@@ -69,7 +70,7 @@
   const std::optional<PeerConfig>& next = config.membership;
   if (handed_over_) return;
   if (!next) {
-    if (core_) Leave(false);
+    if (core_) TellLeave();  // of the fleet, not of service: switched on again it is there again
     End();
     config_.reset();
     return;
@@ -111,8 +112,7 @@
         (config_->listen.address().to_string() + ":" + std::to_string(config_->listen.port())).c_str(),
         error.message().c_str());
   }
-  retry_.expires_after(
-      std::chrono::duration_cast<asio::steady_timer::duration>(std::chrono::duration<double>(kBindEveryS)));
+  retry_.expires_after(Seconds(kBindEveryS));
   retry_.async_wait([this](error_code cancelled) {
     if (!cancelled && config_ && !core_ && !handed_over_) Bind();
   });
@@ -131,7 +131,7 @@
   udp::endpoint local = socket_.local_endpoint(ignored);
   std::fprintf(stderr, "members: number %d of %zu speaks at %s:%d\n", config_->self, config_->peers.size(),
                local.address().to_string().c_str(), local.port());
-  if (left_) Leave(false);
+  if (left_) TellLeave();
   Read();
   Arm();
 }
@@ -215,8 +215,7 @@
   said_view_ = core_->view().digest();
   std::fprintf(stderr, "fleet at_us=%lld pid=%d what=view subject=%s\n", static_cast<long long>(Now()),
                getpid(), Hex(*said_view_, 16).c_str());
-  view_.expires_after(
-      std::chrono::duration_cast<asio::steady_timer::duration>(std::chrono::duration<double>(kViewEveryS)));
+  view_.expires_after(Seconds(kViewEveryS));
   view_.async_wait([this](error_code cancelled) {
     if (!cancelled) SayView();
   });
@@ -235,6 +234,10 @@
                  getpid());
     return End();
   }
+  TellLeave();
+}
+
+void Members::TellLeave() {
   membership::Actions actions;
   core_->Leave(Now(), &actions);
   Do(actions);
--- a/src/net/members.h
+++ b/src/net/members.h
@@ -39,6 +39,7 @@
   using udp = asio::ip::udp;
 
   void Begin();
+  void TellLeave();
   void End();
   void Bind();
   void Read();
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -48,6 +48,9 @@
   fleet.gateways[0]->Reconfigure(fleet.ConfigOf(0));
   EXPECT_SOON(SocketFree(fleet.net.Listen(0)));
   EXPECT_EQ(fleet.Members(0), members);
+  // And on once more: it left the fleet, not service.
+  fleet.gateways[0]->Reconfigure(on);
+  EXPECT_SOON(fleet.State(0, 0) == "alive");
 }
 
 TEST(Members, DeathsReturnsLeavesAndStopsAreKnownToAll) {
