Tests share one virtual time; budgets lose what nothing reads

Cause: seen on reading the change again. The tests of membership and of budgets each had the same queue of what is due; the division and the fleet had accessors, and one handler a parameter, that nothing uses.

Change: tests/virtual_time.h; the rest is taken out. Nothing else is changed.

--- a/src/budget/budgets.cpp
+++ b/src/budget/budgets.cpp
@@ -176,7 +176,7 @@
       votes_.Take(from, m.round);
       if (Arbiter(now)) campaigning_ = false;
       return;
-    case Kind::kNoVote: return OnNo(now, from, m, out);
+    case Kind::kNoVote: return OnNo(now, m, out);
     case Kind::kRelease:
       if (voter_) voter_->Release(now, {from, m.life}, m.round);
       return;
@@ -205,7 +205,7 @@
   Send(now, from, std::move(answer), out);
 }
 
-void Budgets::OnNo(Micros now, uint16_t, const Message& m, Out* out) {
+void Budgets::OnNo(Micros now, const Message& m, Out* out) {
   if (m.life != settings_.life || m.round != votes_.round() || !campaigning_) return;
   // As many as leave no majority: it waits for what it was told of.
   if (static_cast<size_t>(++refused_) * 2 < settings_.voters.size()) return;
--- a/src/budget/budgets.h
+++ b/src/budget/budgets.h
@@ -79,7 +79,7 @@
   void OnAskVote(Micros now, uint16_t from, const Message& m, Out* out);
   void OnAsk(Micros now, uint16_t from, const Message& m, Out* out);
   void OnGrant(Micros now, const Message& m);
-  void OnNo(Micros now, uint16_t from, const Message& m, Out* out);
+  void OnNo(Micros now, const Message& m, Out* out);
   void StandBack(Micros now, Micros wait, Out* out);
   uint16_t SomeVoter() { return settings_.voters[random_() % settings_.voters.size()]; }
   Micros Some(Micros most);
--- a/src/budget/division.h
+++ b/src/budget/division.h
@@ -34,8 +34,6 @@
   uint64_t Out(Micros now) const;
   // What its holders want, of those that asked lately.
   uint64_t Wanted() const;
-  uint32_t pool() const { return pool_; }
-  size_t holders() const { return holders_.size(); }
   void Describe(std::ostream& out) const;
   // A new whole: what is out stays until it runs out.
   void SetPool(uint32_t pool) { pool_ = pool; }
--- a/src/budget/fleet.cpp
+++ b/src/budget/fleet.cpp
@@ -10,21 +10,20 @@
 constexpr int kGroupAsks = 5;
 constexpr Micros kLeastAsk = 1'000'000, kLeastVote = 12'000'000;
 
-}  // namespace
-
-uint16_t Fleet::GroupSize(uint16_t members) {
+uint16_t RootOf(uint16_t members) {
   return static_cast<uint16_t>(std::max(1.0, std::ceil(std::sqrt(members))));
 }
 
+}  // namespace
+
 Fleet::Fleet(const FleetSettings& s, Micros now) : budgets_(s.budgets) {
-  const uint16_t size = s.group_size != 0 ? s.group_size : GroupSize(s.members);
+  const uint16_t size = s.group_size != 0 ? s.group_size : RootOf(s.members);
   const auto groups = static_cast<uint16_t>((s.members + size - 1) / size);
   const auto first = static_cast<uint16_t>(s.self / size * size);
   const auto last = static_cast<uint16_t>(std::min<int>(first + size, s.members));
-  ask_every_ = std::max(kLeastAsk, static_cast<Micros>(1e6 * std::max(size, groups) / s.asks_per_s));
   Settings inside;
   inside.self = s.self, inside.life = s.life, inside.seed = s.seed, inside.budgets = s.budgets;
-  inside.ask_every = ask_every_;
+  inside.ask_every = std::max(kLeastAsk, static_cast<Micros>(1e6 * std::max(size, groups) / s.asks_per_s));
   inside.vote_term = std::max(kLeastVote, 2 * inside.PartTerm());
   Settings among = inside;
   for (uint16_t n = first; n < last && inside.voters.size() < s.voters; ++n) inside.voters.push_back(n);
--- a/src/budget/fleet.h
+++ b/src/budget/fleet.h
@@ -34,17 +34,12 @@
   void Leave(Micros now, Out* out);
   bool Arbiter(Micros now) const { return among_ && among_->Arbiter(now); }
 
-  static uint16_t GroupSize(uint16_t members);
-  // How often a member asks in its group, and a group in the fleet; no more than once a second.
-  Micros AskEvery() const { return ask_every_; }
-
  private:
   template <typename Call>
   void Among(Out* out, Call call);
   void Join(Micros now);
 
   std::vector<Spec> budgets_;
-  Micros ask_every_ = 0;
   std::optional<Budgets> group_, among_;  // among groups: who may ever ask or vote there
 };
 
--- a/tests/budget_measure.cpp
+++ b/tests/budget_measure.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using namespace lemonchute::budget;
+using lemonchute::kSecond;
 
 // An arbiter hears so many asks a second at most: a quarter of what a gateway takes in (60), less its votes.
 constexpr double kAsksPerS = 12;
--- a/tests/budget_world.h
+++ b/tests/budget_world.h
@@ -6,17 +6,15 @@
 
 #include <functional>
 #include <memory>
-#include <queue>
 #include <sstream>
 
 #include "budget/fleet.h"
+#include "virtual_time.h"
 
 namespace lemonchute::budget {
 
-inline constexpr Micros kSecond = 1'000'000;
-
 template <typename Core>
-class BasicWorld {
+class BasicWorld : public VirtualTime {
  public:
   struct Process {
     std::unique_ptr<Core> core;
@@ -28,7 +26,6 @@
   };
   std::function<bool(int from, int to)> passes = [](int, int) { return true; };
   double loss = 0.08, doubled = 0.02, late = 0.02;
-  Micros now = 0;
   Settings form;  // of each; self, life and seed are its own
   std::vector<Process> processes;
   uint64_t over = 0, sent = 0, bytes = 0;
@@ -80,24 +77,6 @@
     Process& p = processes[static_cast<size_t>(n)];
     if (p.core && !p.stopped) Do(n, [&](Out*) { p.core->Want(budget, grains); });
   }
-  void At(Micros at, std::function<void()> what) { due_.push({at, ++order_, std::move(what)}); }
-  void Run(Micros until) {
-    while (!due_.empty() && due_.top().at <= until) {
-      Due due = due_.top();
-      due_.pop();
-      now = due.at;
-      due.what();
-    }
-    now = until;
-    Look();
-  }
-  Micros RunUntil(Micros limit, const std::function<bool()>& what, Micros step = 100'000) {
-    while (now < limit) {
-      if (what()) return now;
-      Run(now + step);
-    }
-    return what() ? now : -1;
-  }
   // Of all that have not died, the stopped too: they may go on at any moment.
   uint64_t Sum(uint32_t budget) const {
     uint64_t sum = 0;
@@ -112,12 +91,7 @@
   uint64_t Below(uint64_t n) { return random_() % n; }
 
  private:
-  struct Due {
-    Micros at;
-    uint64_t order;
-    std::function<void()> what;
-    bool operator>(const Due& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
+  void Arrived() override { Look(); }
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
   void Look() {
     for (const Spec& spec : form.budgets) {
@@ -164,8 +138,6 @@
   }
 
   std::mt19937_64 random_;
-  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
-  uint64_t order_ = 0;
 };
 
 class World : public BasicWorld<Budgets> {
--- a/tests/membership_measure.cpp
+++ b/tests/membership_measure.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using namespace lemonchute::membership;
+using lemonchute::kSecond;
 
 struct Figure {
   std::vector<double> values;
--- a/tests/membership_net.h
+++ b/tests/membership_net.h
@@ -5,15 +5,13 @@
 
 #include <functional>
 #include <memory>
-#include <queue>
 
 #include "membership/membership.h"
+#include "virtual_time.h"
 
 namespace lemonchute::membership {
 
-inline constexpr Micros kSecond = 1'000'000;
-
-class Net {
+class Net : public VirtualTime {
  public:
   struct Member {
     std::unique_ptr<Membership> core;
@@ -68,24 +66,6 @@
     for (Datagram& d : out.send) Carry(m, d.to, std::move(d.bytes));
     Plan(m);
   }
-  void At(Micros at, std::function<void()> what) { due_.push({at, ++order_, std::move(what)}); }
-  void Run(Micros until) {
-    while (!due_.empty() && due_.top().at <= until) {
-      Due due = due_.top();
-      due_.pop();
-      now = due.at;
-      due.what();
-    }
-    now = until;
-  }
-  // Runs until `what` holds, looking each `step`; when it first held, or -1.
-  Micros RunUntil(Micros limit, const std::function<bool()>& what, Micros step = 100'000) {
-    while (now < limit) {
-      if (what()) return now;
-      Run(now + step);
-    }
-    return what() ? now : -1;
-  }
   bool OneDigest() const {
     const Membership* first = nullptr;
     for (const Member& m : members) {
@@ -105,15 +85,7 @@
   }
   size_t longest() const { return longest_; }
 
-  Micros now = 0;
-
  private:
-  struct Due {
-    Micros at;
-    uint64_t order;
-    std::function<void()> what;
-    bool operator>(const Due& other) const { return at != other.at ? at > other.at : order > other.order; }
-  };
   double Uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
   void Plan(int m) {
     Member& one = members[static_cast<size_t>(m)];
@@ -147,8 +119,6 @@
   }
 
   std::mt19937_64 random_;
-  std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
-  uint64_t order_ = 0;
   size_t longest_ = 0;
 
  public:
