A watch that falls silent is noticed 3 s after its last word, not 12

A trace of the watches: opened at 0.6 s, silent, given up at 12.6 s by kWaitMs and kPatience, then 0.6 s more of the back-off that refusals at the start had left, list at 13.4 s. The changes counted from 12.6 s on. Ruled out: a list that comes in pieces (each was one read), late writes (attempts began after the grace). Faulty: discovery_client.cpp, kWaitMs = 10000 and Failed, which went on with an old back-off after a call whose patience had run out. Change: a watch waits 1 s, so that notice takes half of the 6 s after which what is missed counts; the back-off begins anew after silence. Tests: two on sockets, both fail without it (12.0 s; a whole list asked for).

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -12,9 +12,10 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-constexpr int kWaitMs =
-    10000;  // of a watch: a silent agent is noticed this and kPatience after its last word
-constexpr auto kPatience = std::chrono::milliseconds(2000);
+// What a silent watch misses counts as told 6 s after its last word. Half of that goes to notice the silence,
+// which is the wait and kPatience, and the other half is left for the calls that make up for it.
+constexpr int kWaitMs = 1000;
+constexpr auto kPatience = std::chrono::milliseconds(2000);  // as long as a call may wait for its turn
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
 constexpr auto kBackoffEach = std::chrono::milliseconds(100);  // of a fleet's gateways, that much for each
 
@@ -148,13 +149,16 @@
   if (!running_) return;
   uint64_t turn = ++turn_;
   bool watch = index_.has_value() && !whole_next_;
+  int wait_ms = !watch ? 0 : kWaitMs;
   message_ = "GET /api/targets";
-  if (watch) message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(kWaitMs);
+  if (watch) message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(wait_ms);
   message_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
   Renew(&parser_, kMaxList);
-  timer_.expires_after(kPatience + std::chrono::milliseconds(watch ? kWaitMs : 0));
+  timer_.expires_after(kPatience + std::chrono::milliseconds(wait_ms));
   timer_.async_wait([this, turn](error_code cancelled) {
-    if (!cancelled && turn == turn_) Failed();
+    if (cancelled || turn != turn_) return;
+    backoff_ = {};  // its patience was wait enough
+    Failed();
   });
   if (socket_.is_open() && !Stale(socket_)) {
     Send();
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,91 @@
+// Two events that cross: a peer holds a byte back, or sends it, at the point where it hurts most.
+#include <chrono>
+#include <memory>
+
+#include "gateway_site.h"
+#include "net/discovery_client.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+using Clock = std::chrono::steady_clock;
+
+std::string List(uint64_t index, const json& entries, bool whole) {
+  return Ok(json{{"index", index}, {"snapshot", whole}, {"endpoints", entries}}.dump(1));  // indented
+}
+
+// A discovery client alone, against an agent that the test plays; ends when `agent` says so.
+struct LoneClient {
+  explicit LoneClient(Server::Handler agent) : server(std::move(agent)) {}
+  void Run() {
+    client.Start();
+    auto stopped = boost::asio::make_work_guard(io);
+    io.run();
+    client.Stop();
+    server.Stop();
+  }
+  boost::asio::io_context io{1};
+  Server server;
+  lemonchute::net::BackendIds ids;
+  lemonchute::net::DiscoveryClient client{
+      io,
+      {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port())},
+      std::make_shared<const lemonchute::policy::SiteSettings>(),
+      &ids,
+      [](const lemonchute::net::BackendList&) {},
+      [] {},
+      1,
+      1};
+};
+
+// What a silent watch misses counts as told 6 s after it fell silent: by then a new one must have been opened.
+TEST(Watch, OneThatFallsSilentIsOpenedAnewBeforeWhatItMissesCounts) {
+  Clock::time_point silent, anew;
+  LoneClient* lone = nullptr;
+  Event opened;
+  LoneClient run([&](Wire& wire) {
+    for (Message ask = wire.Read(); ask.whole; ask = wire.Read()) {
+      if (ask.head.find("after=") == std::string::npos) {
+        wire.Write(List(4, json::array(), true));
+      } else if (opened.Add(), opened.count() == 1) {
+        silent = Clock::now();  // open, and nothing more on it
+      } else {
+        anew = Clock::now();
+        lone->io.stop();
+      }
+    }
+  });
+  lone = &run;
+  run.Run();
+  EXPECT_EQ(run.server.connections, 2);
+  EXPECT_LT(anew - silent, std::chrono::seconds(6));
+}
+
+// Calls that were refused before don't make a watch that then falls silent wait for longer.
+TEST(Watch, OneThatFallsSilentAfterRefusalsIsOpenedAnewAtOnce) {
+  LoneClient* lone = nullptr;
+  int watches = 0, whole = 0;
+  constexpr int kRefused = 6;
+  LoneClient run([&](Wire& wire) {
+    for (Message ask = wire.Read(); ask.whole; ask = wire.Read()) {
+      if (ask.head.find("after=") == std::string::npos) {
+        ++whole;
+        wire.Write(List(4, json::array(), true));
+      } else if (++watches <= kRefused) {
+        wire.Write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+      } else if (watches == kRefused + 1) {
+        wire.Ended();  // silent until the client gives it up
+        return;
+      } else {
+        lone->io.stop();
+      }
+    }
+  });
+  lone = &run;
+  run.client.SetFleet(600);  // whose back-off may be a minute
+  run.Run();
+  EXPECT_EQ(watches, kRefused + 2);
+  EXPECT_EQ(whole, 1) << "the back-off began anew: only after longer gaps the whole list is asked for";
+}
+
+}  // namespace
