A start goes on from the list it was given, which costs discovery one call and not two

The trace: each gateway asks for the whole list, then opens a watch; six gateways' twelve calls are more than discovery carries in 2 s, so most watches were refused and the others waited their turn for 2 s, in which drains began. Ruled out: renewals (answered at once). Faulty: DiscoveryClient::Ask, which threw away the version in known. Change: the first call names that version and waits 1 ms; the next one, within 200 ms, continues it as a watch. Test on sockets, fails without it.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -15,6 +15,7 @@
 // What a silent watch misses counts as told 6 s after its last word. Half of that goes to notice the silence,
 // which is the wait and kPatience, and the other half is left for the calls that make up for it.
 constexpr int kWaitMs = 1000;
+constexpr int kFirstWaitMs = 1;  // of a start: what has changed since the list it was given, at once
 constexpr auto kPatience = std::chrono::milliseconds(2000);  // as long as a call may wait for its turn
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
 constexpr auto kBackoffEach = std::chrono::milliseconds(100);  // of a fleet's gateways, that much for each
@@ -119,6 +120,12 @@
   if (renamed) AskAnew();  // what was told before was read by the old names
 }
 
+void DiscoveryClient::Resume(uint64_t index) {
+  index_ = index;
+  whole_next_ = false;
+  resuming_ = true;
+}
+
 void DiscoveryClient::Start() {
   if (running_) return;
   running_ = true;
@@ -149,7 +156,7 @@
   if (!running_) return;
   uint64_t turn = ++turn_;
   bool watch = index_.has_value() && !whole_next_;
-  int wait_ms = !watch ? 0 : kWaitMs;
+  int wait_ms = !watch ? 0 : resuming_ ? kFirstWaitMs : kWaitMs;
   message_ = "GET /api/targets";
   if (watch) message_ += "?after=" + std::to_string(*index_) + "&wait_ms=" + std::to_string(wait_ms);
   message_ += " HTTP/1.1\r\nHost: discovery\r\n\r\n";
@@ -218,7 +225,7 @@
   }
   if (whole_next_ && !list.full) return Failed();
   if (!parser_->keep_alive() || buffer_.size() > 0) CloseNow(socket_);
-  whole_next_ = false;
+  whole_next_ = resuming_ = false;
   index_ = list.index;
   backoff_ = {};
   Ask();  // renewed at once: a watch lives on only for 200 ms between its calls
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -1,4 +1,5 @@
-// Follows discovery: the whole list once, then one watch after another. Turns names into the module's ids.
+// Follows discovery: the whole list once, or what has changed since the one given, then one watch after
+// another. Turns names into the module's ids.
 #ifndef LEMONCHUTE_NET_DISCOVERY_CLIENT_H_
 #define LEMONCHUTE_NET_DISCOVERY_CLIENT_H_
 
@@ -56,6 +57,8 @@
                   std::shared_ptr<const lemonchute::policy::SiteSettings> site, BackendIds* ids,
                   OnList on_list, OnFailed on_failed, int gateways, uint64_t seed);
 
+  // Before the start: goes on from the list of this version, which costs discovery less than a whole one.
+  void Resume(uint64_t index);
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
   // Asks at another address from now on, for the whole list first.
@@ -89,7 +92,7 @@
   Clock::duration backoff_{};
   Clock::duration backoff_most_;
   std::mt19937_64 rng_;
-  bool running_ = false, whole_next_ = true;
+  bool running_ = false, whole_next_ = true, resuming_ = false;
 };
 
 }  // namespace lemonchute::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -161,6 +161,7 @@
     } catch (const lemonchute::policy::WireError& error) {
       throw lemonchute::policy::WireError(std::string("setting is unreadable: known: ") + error.what());
     }
+    if (known.full) discovery_.Resume(known.index);
   }
   balancer_.emplace(config.settings, config.seed, Now(), &actions_);
   OnList(known, ListKind::kCached);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -88,4 +88,31 @@
   EXPECT_EQ(whole, 1) << "the back-off began anew: only after longer gaps the whole list is asked for";
 }
 
+// A start goes on from the list that it was given, at once: a whole list and a watch are two calls of each of
+// a fleet's gateways, which discovery may not carry, and until it has turned to the second nobody is told.
+TEST(Watch, AStartGoesOnFromTheKnownList) {
+  Backend old(Says(Ok("old"))), fresh(Says(Ok("fresh")));
+  Event asked;
+  std::vector<std::string> asks;
+  Server agent([&](Wire& wire) {
+    for (Message ask = wire.Read(); ask.whole; ask = wire.Read()) {
+      asks.push_back(ask.head.substr(0, ask.head.find(" HTTP")));
+      bool first = asks.size() == 1;
+      if (first)
+        wire.Write(List(9, json::array({Entry("a", old.port(), "leaving"), Entry("b", fresh.port())}), false));
+      asked.Add();
+    }
+  });
+  Counter counter([](const std::string&, double) { return Bulk("0"); });
+  json config = Config(agent.port(), counter.port(), json::array({Entry("a", old.port())}));
+  config["known"]["index"] = 7;
+  Process gateway(config);
+  ASSERT_TRUE(asked.Wait(2));
+  EXPECT_EQ(asks[0], "GET /api/targets?after=7&wait_ms=1");
+  EXPECT_EQ(asks[1].substr(0, 24), "GET /api/targets?after=9");
+  EXPECT_EQ(Ask(*gateway.Connect(), Request("quote")).body, "fresh");
+  gateway.Signal(SIGTERM);
+  EXPECT_EQ(gateway.Exit(), 0);  // before its peers go
+}
+
 }  // namespace
