A guarded request's repeat goes out within its window, not only its decision

Cause, by reading: the module asks whether the window is open when it decides (MayResend); the attempt is written when its connection has come up, up to a connect time-out later. The late check in BackendPool::Connection::Connect knew patience and the drain's grace, not the window. Ruled out: the window's start, which is the decision to send, before anything is written. Change: a send names how late it may begin; the pool gives up a connection that is not up by then. Test: forced with a listener whose queue is full until the window is over; without it the repeat arrives.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -830,6 +830,8 @@
     Action& a = Emit(out, ActionKind::kSend, l->r.id);
     a.backend = node->info.id;
     a.seconds = std::max(s_.resolution_s, l->deadline - now);
+    const ClassSettings& c = s_.classes[l->r.cls];
+    if (l->may_have_run && c.effect == Effect::kGuarded) a.begin_s = WindowEnd(*l) - now;
   }
 
   void Arm(const Live& l, double now, Actions* out) {
@@ -845,7 +847,12 @@
     if (l.spent || static_cast<int>(l.tries.size()) >= l.try_limit) return false;
     if (!l.may_have_run || c.effect == Effect::kFree) return true;
     if (c.effect == Effect::kSingleShot) return false;
-    return now < l.ran_at + c.window_s - 2 * s_.resolution_s;
+    return now < WindowEnd(l);
+  }
+
+  // By when a repeat of a guarded request must have begun.
+  double WindowEnd(const Live& l) const {
+    return l.ran_at + s_.classes[l.r.cls].window_s - 2 * s_.resolution_s;
   }
 
   bool TryAgain(Live* l, double now, Actions* out) {
--- a/src/balance.h
+++ b/src/balance.h
@@ -117,6 +117,7 @@
   uint64_t tag = 0;    // timer's tag, or the name of a count
   double seconds = 0;  // patience, wait, stay-away or expiry
   double amount = 0;   // added to the count
+  double begin_s = 0;  // of a send: how late it may begin, since a repeat must come within its window; 0: any time
   std::string text;
 };
 using Actions = std::vector<Action>;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -39,7 +39,7 @@
   bool may_have_run() const { return written_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
 
-  void Begin(uint64_t attempt, std::string message, double patience_s, Done done, AttemptStream stream) {
+  void Begin(uint64_t attempt, std::string message, AttemptLimits limits, Done done, AttemptStream stream) {
     busy_ = true;
     written_ = false;
     attempt_ = attempt;
@@ -51,7 +51,8 @@
     by_pieces_ = stream_.more != nullptr;
     body_.clear();
     began_ = Clock::now();
-    give_up_ = began_ + Seconds(std::max(0.0, patience_s));
+    give_up_ = began_ + Seconds(std::max(0.0, limits.patience_s));
+    begin_by_ = limits.begin_s > 0 ? std::min(give_up_, began_ + Seconds(limits.begin_s)) : give_up_;
     Renew(&parser_, kMostStreamed);
     if (open_) {
       Opened();
@@ -117,11 +118,12 @@
     if (error) {
       return asio::post(pool_->io_, [self = shared_from_this(), this] { Finish(Result::kConnectFailed); });
     }
-    WaitUntil(std::min(give_up_, began_ + pool_->connect_timeout_));
+    WaitUntil(std::min(begin_by_, began_ + pool_->connect_timeout_));
     socket_.async_connect(address_, [self = shared_from_this(), this](error_code failed) {
       if (closed_ || !busy_) return;
-      // Guards against a late connect: patience over, or the grace of a drain past. Nothing is sent then.
-      bool late = Clock::now() >= give_up_ || !pool_->MaySend(backend_);
+      // Guards against a late connect: patience over, the window for a repeat or the grace of a drain past.
+      // Nothing is sent then.
+      bool late = Clock::now() >= begin_by_ || !pool_->MaySend(backend_);
       if (failed || late) return Finish(Result::kConnectFailed);
       open_ = true;
       Opened();
@@ -336,7 +338,8 @@
   AttemptStream stream_;
   Done done_;
   uint64_t attempt_ = 0;
-  Clock::time_point began_, give_up_, heard_;
+  Clock::time_point began_, give_up_, heard_, rested_;
+  Clock::time_point begin_by_;  // what has not begun to be written by then is not
   bool open_ = false, closed_ = false, busy_ = false, reading_ = false;
   double upload_s_ = 0;
   Clock::time_point wrote_at_;
@@ -418,7 +421,7 @@
   return true;
 }
 
-uint64_t BackendPool::Send(uint32_t backend, std::string message, double patience_s, Done done,
+uint64_t BackendPool::Send(uint32_t backend, std::string message, AttemptLimits limits, Done done,
                            AttemptStream stream) {
   uint64_t attempt = ++last_attempt_;
   Backend* b = Find(backend);
@@ -446,7 +449,7 @@
     return attempt;
   }
   out_[attempt] = connection;
-  connection->Begin(attempt, std::move(message), patience_s, std::move(done), std::move(stream));
+  connection->Begin(attempt, std::move(message), limits, std::move(done), std::move(stream));
   return attempt;
 }
 
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -46,6 +46,12 @@
   std::function<void(std::function<void(std::string bytes, bool last)>)> more;
 };
 
+// How long an attempt may take, and how late it may begin to be written; seconds from now.
+struct AttemptLimits {
+  double patience_s = 0;
+  double begin_s = 0;  // 0: as late as its patience
+};
+
 class BackendPool {
  public:
   using Done = std::function<void(AttemptEnd)>;
@@ -63,7 +69,7 @@
   // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
   // unless Cancel ends the attempt. Returns the attempt's number for Cancel. Patience holds until a large
   // answer begins; from then on it must only come on.
-  uint64_t Send(uint32_t backend, std::string message, double patience_s, Done done, AttemptStream stream);
+  uint64_t Send(uint32_t backend, std::string message, AttemptLimits limits, Done done, AttemptStream stream);
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -319,7 +319,7 @@
   message.append(held.body);
   held.attempts.back().out = true;
   held.attempts.back().number = pool_.Send(
-      backend, std::move(message), patience,
+      backend, std::move(message), {patience, action.begin_s},
       [this, id, attempt, backend](AttemptEnd end) { OnEnd(id, attempt, backend, std::move(end)); },
       {[this, id, attempt](const std::string& headers, std::optional<uint64_t> length) {
          return OnBegin(id, attempt, headers, length);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -163,5 +163,25 @@
 
 // A request that comes on a resting connection just as that is closed: it is not sent on, since its answer could
 // An attempt whose connection comes up after its client has left is not made, nor does it wait to be, also where
+// A repeat must come within the window, not only be decided on in it: its connection may come up late.
+TEST(Attempt, ARepeatWhoseConnectionComesUpAfterTheWindowIsNotMade) {
+  constexpr auto kWindow = std::chrono::milliseconds(400);
+  Backend first([](const Message&, Wire&) { return std::string(); });  // ends: it may have run
+  LateListener second;
+  json entries = json::array({Entry("s1", first.port()), Entry("s2", second.port())});
+  entries[1]["zone"] = "b";  // the first goes to its own zone
+  Site site(entries, With({{"/request-classes/1/window-s", 0.4},
+                           {"/request-classes/1/hard-limit-s", 20.0},
+                           {"/limits/connect-timeout-s", 60.0}}));
+  auto client = site.gateway->Connect();
+  client->Write(Request("save-scenario", 1, 20000));
+  ASSERT_TRUE(first.requests.Wait());
+  std::this_thread::sleep_until(Clock::now() + kWindow);  // from its arrival on, so the window is over
+  second.Free();
+  EXPECT_EQ(client->Read().status(), 503);
+  site.gateway->Signal(SIGTERM);
+  EXPECT_EQ(site.gateway->Exit(), 0);
+  EXPECT_EQ(second.Sent(), "");
+}
 
 }  // namespace
