An attempt that has not connected ends with its request, cancels allowed or not

An attempt still connecting then went on, and was written when its connection came up, for a client that had left or had its answer. Ruled out: the connect check in the pool, which sees patience and drain only. Change: Gateway::Withdraw, when a request is answered or its client is gone: what has not connected is closed; it is no attempt. Test: listener with a full queue, cancels off; without it the connection stays for its whole time-out.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -37,6 +37,8 @@
 
   const tcp::endpoint& address() const { return address_; }
   bool may_have_run() const { return written_; }
+  bool open() const { return open_; }
+  bool rested() const { return Clock::now() >= rested_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
 
   void Begin(uint64_t attempt, std::string message, AttemptLimits limits, Done done, AttemptStream stream) {
@@ -462,6 +464,12 @@
   return true;
 }
 
+bool BackendPool::Withdraw(uint64_t attempt) {
+  auto it = out_.find(attempt);
+  bool ran = false;
+  return it != out_.end() && !it->second->open() && Cancel(attempt, &ran);
+}
+
 void BackendPool::CloseIdle() {
   while (!idle_order_.empty()) idle_order_.front()->DropIdle();
 }
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -73,6 +73,8 @@
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
+  // The same where the attempt's connection has not come up yet; else nothing happens and this is false.
+  bool Withdraw(uint64_t attempt);
 
   void CloseIdle();
   void SetLimits(double idle_s, double connect_timeout_s, double drain_grace_s);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -432,9 +432,24 @@
   ++(answer.status == 200 ? count.ok : shed ? count.shed : count.errors);
   by_connection_.erase(held.connection);
   server_.Reply(held.connection, std::move(answer));
+  Withdraw(id);
   Forget(id);
 }
 
+// Of a request that is over nothing goes out any more: an attempt whose connection has not come up is none, and
+// whether the settings allow attempts to be cancelled does not matter.
+void Gateway::Withdraw(uint32_t id) {
+  const Held& held = held_.at(id);
+  for (size_t i = 0; i < held.attempts.size(); ++i) {
+    if (!held.attempts[i].out || !pool_.Withdraw(held.attempts[i].number)) continue;
+    asio::post(io_, [this, id, attempt = static_cast<int>(i)] {
+      AttemptEnd end;
+      end.result = Result::kNeverSent;
+      OnEnd(id, attempt, 0, std::move(end));
+    });
+  }
+}
+
 // Drops a request that is answered and of which nothing is out, unless an outcome of it is being told.
 void Gateway::Forget(uint32_t id) {
   auto it = held_.find(id);
@@ -462,6 +477,7 @@
   uint32_t id = it->second;
   by_connection_.erase(it);
   held_.at(id).answered = true;
+  Withdraw(id);
   if (int streaming = held_.at(id).streaming; streaming >= 0) CancelAttempt(id, streaming, 0);
   Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
     b.OnAbandoned(now, id, out);
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -101,6 +101,7 @@
   void Report(uint32_t id, int attempt, uint32_t backend, const AttemptEnd& end);
   void Finish(uint32_t id, Answer answer);
   void Forget(uint32_t id);
+  void Withdraw(uint32_t id);
   void Guard(uint32_t id);
 
   void OnMessage(uint64_t connection, ClientMessage message, const std::optional<Upload>& upload);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -163,6 +163,30 @@
 
 // A request that comes on a resting connection just as that is closed: it is not sent on, since its answer could
 // An attempt whose connection comes up after its client has left is not made, nor does it wait to be, also where
+// the settings allow no cancels.
+TEST(Attempt, OneThatHasNotConnectedEndsWithItsClient) {
+  LateListener backend;
+  Site site(json::array({Entry("s1", backend.port())}),
+            With({{"/limits/cancel", false}, {"/limits/connect-timeout-s", 60.0}}), LEMONCHUTE_GATEWAY, 0, kOps);
+  int ops = site.gateway->ops_port;
+  AwaitFigure(ops, "active", 0);
+  auto client = site.gateway->Connect();
+  EXPECT_EQ(Ask(*client, kReady).status(), 200);
+  size_t before = site.gateway->Descriptors();
+  client->Write(Request("send-lead"));
+  AwaitFigure(ops, "active", 1);
+  client->Close();
+  AwaitFigure(ops, "active", 0);
+  for (int i = 0; i < 200 && site.gateway->Descriptors() >= before; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_LT(site.gateway->Descriptors(), before);
+  backend.Free();
+  site.gateway->Signal(SIGTERM);
+  EXPECT_EQ(site.gateway->Exit(), 0);
+  EXPECT_EQ(backend.Sent(), "");
+}
+
 // A repeat must come within the window, not only be decided on in it: its connection may come up late.
 TEST(Attempt, ARepeatWhoseConnectionComesUpAfterTheWindowIsNotMade) {
   constexpr auto kWindow = std::chrono::milliseconds(400);
