A connection rests 20 ms after its answer, so a late second one meets no request

Where both meet, the client gets an answer made for another request, which counts as lost. HTTP/1.1 has nothing to tell them apart. Ruled out: the check for bytes right behind an answer (parser and Stale), which is sound but for what comes later. Faulty: BackendPool::Send took the most recently used connection at once. Change: one rests for 20 ms, five times the latest that was seen; the next one, or a new one, is taken meanwhile. Test: forced on the pool, the backend holds its second answer until a request comes.

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -15,6 +15,9 @@
 constexpr double kIdleShare = 0.7;
 // Off the drain's grace: the time a write may take to come out on a busy core.
 constexpr double kGraceMarginS = 0.1;
+// Before a connection is used again. A backend may send a second answer some milliseconds after the first: one
+// that comes upon a further request would be taken for that one's. Five times the latest that was seen.
+constexpr auto kRest = std::chrono::milliseconds(20);
 constexpr auto kStall = std::chrono::seconds(10);  // without a byte of an answer that has begun: it broke off
 
 }  // namespace
@@ -316,6 +319,7 @@
     if (keep && b != nullptr && !b->draining && pool_->MaySend(backend_) && b->address == address_) {
       b->kept.push_back(shared_from_this());
       idle_at_ = pool_->idle_order_.insert(pool_->idle_order_.end(), this);
+      rested_ = Clock::now() + kRest;
       WaitUntil(Clock::now() + pool_->idle_);
     } else {
       CloseSocket();
@@ -429,9 +433,10 @@
   Backend* b = Find(backend);
   bool may = MaySend(backend);
   std::shared_ptr<Connection> connection;
-  while (may && !b->kept.empty() && connection == nullptr) {
-    std::shared_ptr<Connection> kept = std::move(b->kept.back());
-    b->kept.pop_back();
+  for (size_t i = may ? b->kept.size() : 0; i-- > 0 && connection == nullptr;) {
+    if (!b->kept[i]->rested()) continue;
+    std::shared_ptr<Connection> kept = std::move(b->kept[i]);
+    b->kept.erase(b->kept.begin() + static_cast<ptrdiff_t>(i));
     kept->LeaveIdle();
     if (kept->Usable()) {
       connection = std::move(kept);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -208,4 +208,33 @@
   EXPECT_EQ(second.Sent(), "");
 }
 
+// A second answer some milliseconds late must find no further request on its connection.
+TEST(Attempt, ASecondAnswerIsNotTakenForTheNextRequests) {
+  boost::asio::io_context io(1);
+  lemonchute::net::Counters counters;
+  lemonchute::net::BackendPool pool(io, 30, 1, 1, 16, &counters);
+  pool.SetBudget(1 << 20);
+  Backend backend([](const Message& m, Wire& wire) {
+    bool first = m.head.find("/one") != std::string::npos;
+    if (!first) return Ok("two");
+    wire.Write(Ok("one"));
+    // Held back until a further request has come on the same connection, or its other side has ended it.
+    if (!wire.Read().whole) return std::string();
+    return Ok("one again");
+  });
+  pool.Update(1, {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(backend.port())});
+  std::string second;
+  auto get = [](const char* path) { return std::string("GET ") + path + " HTTP/1.1\r\nHost: x\r\n\r\n"; };
+  pool.Send(1, get("/one"), {20, 0}, [&](lemonchute::net::AttemptEnd one) {
+    EXPECT_EQ(one.body, "one");
+    pool.Send(1, get("/two"), {20, 0}, [&](lemonchute::net::AttemptEnd two) {
+      second = two.body;
+      io.stop();
+    }, {});
+  }, {});
+  io.run();
+  EXPECT_EQ(second, "two");
+  pool.CloseIdle();
+}
+
 }  // namespace
