A small answer that has begun and never ends is cut soon after its request's time

Cause, by reading: patience held until an answer had begun; from 16 KiB on only a stall of 10 s ended it, so one that trickles never did. Faulty: backend_pool.cpp, WaitUntil's streaming branch. Ruled out: answers past 64 KiB, whose first bytes are timed and which must only come on. Change: while no more than 64 KiB have been passed on, an answer of unknown or small length is cut 0.25 s after the time. Test: a backend that trickles a byte every 50 ms; without it the test never ended (stopped after 200 s).

--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -19,6 +19,9 @@
 // that comes upon a further request would be taken for that one's. Five times the latest that was seen.
 constexpr auto kRest = std::chrono::milliseconds(20);
 constexpr auto kStall = std::chrono::seconds(10);  // without a byte of an answer that has begun: it broke off
+// After its request's time, until a small answer that has begun and does not end is cut: half of what the
+// platform allows a final answer to be late.
+constexpr auto kLate = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -52,6 +55,7 @@
     done_ = std::move(done);
     stream_ = std::move(stream);
     streaming_ = held_up_ = uploading_ = false;
+    passed_on_ = 0;
     upload_s_ = 0;
     by_pieces_ = stream_.more != nullptr;
     body_.clear();
@@ -105,9 +109,10 @@
     timer_.async_wait([self = shared_from_this(), this](error_code error) {
       if (error || closed_ || Clock::now() < timer_.expiry()) return;
       if (!busy_) return DropIdle();
+      if (streaming_ && Timed() && Clock::now() >= give_up_ + kLate) return Finish(Result::kReset);
       if (streaming_) {  // on the client's account it may rest; the client's own limit holds then
         auto due = (held_up_ ? Clock::now() : heard_) + kStall;
-        return Clock::now() < due ? WaitUntil(due) : Finish(Result::kReset);
+        return Clock::now() < due ? WaitStreaming(due) : Finish(Result::kReset);
       }
       if (by_pieces_ && !written_ && open_ && Clock::now() < give_up_) {
         auto due = (uploading_ ? Clock::now() : wrote_at_) + kStall;  // on the client's account it may rest
@@ -118,6 +123,11 @@
     });
   }
 
+  // Whether a stream must end within its request's time. Past kMaxBody the first bytes have been in time, and the
+  // rest must only come on.
+  bool Timed() const { return parser_->content_length().value_or(0) <= kMaxBody && passed_on_ <= kMaxBody; }
+  void WaitStreaming(Clock::time_point when) { WaitUntil(Timed() ? std::min(when, give_up_ + kLate) : when); }
+
   void Connect() {
     error_code error = Open(socket_, address_);
     if (error) {
@@ -253,7 +263,7 @@
     AppendEndToEnd(parser_->get(), &headers, [](const auto& f) { return NotForClients(f); });
     auto length = parser_->content_length();
     heard_ = Clock::now();
-    WaitUntil(heard_ + kStall);
+    WaitStreaming(heard_ + kStall);
     return stream_.begin(std::move(headers), length ? std::optional<uint64_t>(*length) : std::nullopt);
   }
 
@@ -262,6 +272,7 @@
     held_up_ = passing_ = true;
     uint64_t mine = attempt_;
     std::string piece = std::exchange(body_, std::string());
+    passed_on_ += piece.size();
     stream_.piece(std::move(piece), [self = shared_from_this(), this, mine] {
       if (closed_ || attempt_ != mine) return;
       held_up_ = false;
@@ -352,6 +363,7 @@
   bool by_pieces_ = false;                  // the request is passed on as it comes
   bool uploading_ = false;                  // the next bytes of the request are asked for
   bool streaming_ = false;                  // the answer has begun towards the client
+  size_t passed_on_ = 0;                    // bytes of its body
   bool held_up_ = false, passing_ = false;  // the client's side has a piece that it has not taken yet
   bool written_ = false;                    // the attempt's last byte: from here on it may have run
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -237,4 +237,25 @@
   pool.CloseIdle();
 }
 
+// A small answer that has begun and never ends is cut soon after its request's time, so that its client can tell.
+TEST(Attempt, ASmallAnswerThatNeverEndsIsCut) {
+  Backend backend([](const Message&, Wire& wire) {
+    std::string begun = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5000\r\n" + std::string(0x5000, 'b');
+    wire.Write(begun + "\r\n");
+    while (wire.Open()) {
+      wire.Write("1\r\nb\r\n");
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return std::string();
+  });
+  Site site(json::array({Entry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
+  auto client = site.gateway->Connect();
+  client->Write(Request("quote", 1, 500));
+  EXPECT_NE(client->Until("200 OK"), "");
+  while (client->More() && client->unread.size() < (1 << 16)) {
+  }
+  EXPECT_EQ(client->unread.find("\r\n0\r\n"), std::string::npos) << "must not look whole";
+  AwaitFigure(site.gateway->ops_port, "errors.quote", 1);
+}
+
 }  // namespace
