A client's end is seen whatever it sent ahead of it

Cause, by reading: past 32 KiB sent ahead nothing more was read while a request was held (Connection::Read), so the end behind it was not seen, and the request was sent on, tried again and waited for all the same. Ruled out: asking the system whether the other side has ended, which it can't say of a client whose bytes fill the window. Change: one whole further request is kept (80 KiB, less where memory is short); what comes past it is read and dropped, up to 48 MB, and the answer is the connection's last and says so. Uploads wait as before.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -11,10 +11,12 @@
 namespace lemonchute::net {
 namespace {
 
-// What is read of a client ahead of its answer. Past that nothing is until it is answered, so that clients
-// cannot fill the memory.
-constexpr size_t kMostAhead = 2 * kMaxHeader;
-constexpr auto kLinger = std::chrono::seconds(1);        // for a client to read its last answer
+// What is kept at most of what a client sends ahead of its answer: one whole further request, and less where
+// memory is short. What comes past it is read all the same, or the client's end behind it would not be seen; it is
+// dropped, and the answer ends the connection.
+constexpr size_t kMostAhead = kMaxHeader + kMaxBody;
+constexpr auto kLinger = std::chrono::milliseconds(1000);  // for a client to read its last answer
+constexpr auto kYield = std::chrono::milliseconds(100);  // for one that rests, to see the end where room is short
 constexpr auto kPartial = std::chrono::seconds(10);      // for an answer, or a piece of one, to be read
 constexpr auto kHead = std::chrono::milliseconds(4000);  // for the head of a further request
 // For a small body to become whole, and for a large one to bring kLeastBrought more.
@@ -162,7 +164,12 @@
   }
 
   void Read() {
-    if (reading_ || state_ == State::kClosed || buffer_.size() >= kMostAhead) return;
+    if (reading_ || state_ == State::kClosed) return;
+    // An upload's own bytes wait for who takes them.
+    if (buffer_.size() >= (uploading_ ? 2 * kPiece : kMaxHeader + server_->MostHeld())) {
+      if (!uploading_ && dropped_ < kMostLingerBytes) ReadAndDrop();
+      return;
+    }
     reading_ = true;
     socket_.async_read_some(buffer_.prepare(kReadChunk),
                             [self = shared_from_this(), this](error_code error, size_t n) {
@@ -186,6 +193,19 @@
                             });
   }
 
+  void ReadAndDrop() {
+    reading_ = dropping_ = true;
+    keep_ = false;
+    socket_.async_read_some(asio::buffer(server_->scratch_),
+                            [self = shared_from_this(), this](error_code error, size_t n) {
+                              reading_ = false;
+                              if (state_ == State::kClosed) return;
+                              if (error) return Close();
+                              dropped_ += n;
+                              Read();
+                            });
+  }
+
   void Parse() {
     // Empty lines before a request are passed over (RFC 9112, 2.2).
     while (!begun_ && buffer_.size() > 0 && (Front() == '\r' || Front() == '\n')) {
@@ -337,7 +357,7 @@
   // The last byte of an answer is out.
   void Sent(bool keep) {
     if (message_.capacity() > kMaxHeader) message_ = std::string();
-    if (!keep) return Linger();
+    if (!keep || dropping_) return Linger();
     Next();
     // Bytes that came ahead are the next request. Posted: the caller may be in the middle of its actions.
     if (buffer_.size() > 0) {
@@ -430,8 +450,9 @@
   bool chunked_ = false, to_its_end_ = false, ended_ = false, whole_ = false,
        pumping_ = false;  // of a stream
   State state_ = State::kReading;
-  size_t lingered_ = 0;
+  size_t lingered_ = 0, dropped_ = 0;
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
+  bool dropping_ = false;  // more was sent ahead than is kept: the next answer is the connection's last
 };
 
 ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -176,6 +176,39 @@
   EXPECT_EQ(backend.requests.count(), 1);
 }
 
+// A client that has left is noticed whatever it sent ahead.
+TEST(Closing, AClientThatLeavesBehindWhatItSentAheadIsNoticed) {
+  for (size_t ahead : {size_t{1} << 10, size_t{40} << 10, size_t{1} << 20}) {
+    Event given_up;
+    Backend backend(Hangs(&given_up));
+    Site site(json::array({Entry("s1", backend.port())}),
+              With({{"/request-classes/0/hard-limit-s", 600.0}}), LEMONCHUTE_GATEWAY, 0, kOps);
+    auto client = site.gateway->Connect();
+    client->Write(Request("quote", 1, 600000));
+    ASSERT_TRUE(backend.requests.Wait());
+    client->Write(std::string(ahead, 'x'));
+    client->Close();
+    AwaitFigure(site.gateway->ops_port, "active", 0);
+    EXPECT_TRUE(given_up.Wait()) << ahead;
+  }
+}
+
+// What is sent ahead within bounds is served in its turn; past them the answer says that it is the last.
+TEST(Closing, MoreThanIsKeptOfWhatWasSentAheadEndsTheConnectionWithTheAnswer) {
+  Event go;
+  Backend backend([&](const Message&, Wire&) { return go.Wait(), Ok("x"); });
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  client->Write(Request("quote"));
+  ASSERT_TRUE(backend.requests.Wait());
+  std::thread flood([&] { client->Write(std::string(size_t{8} << 20, 'x')); });  // more than sockets hold
+  flood.join();
+  go.Add();
+  Message answer = client->Read();
+  EXPECT_EQ(answer.status(), 200);
+  EXPECT_EQ(answer.Header("Connection"), "close");
+}
+
 // An attempt whose connection comes up after its client has left is not made, nor does it wait to be, also where
 // the settings allow no cancels.
 TEST(Attempt, OneThatHasNotConnectedEndsWithItsClient) {
