A plan that has neither rate nor cap is within its quota

Cause, by reading: Judge took a plan without a rate or a cap for one whose store is empty, and refused all of it.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -471,6 +471,10 @@
     Lend(c, r.units, now);
     *chance = 0;
     if (p.ceiling_rate > 0 && c->ceiling < r.units) return Verdict::kOver;
+    if (p.rate <= 0 && p.parallel <= 0) {  // no quota
+      *chance = 1;
+      return Verdict::kInside;
+    }
     bool soft = Soft(p), alone = Entries(*c) < 2;
     double loss = Loss(p), told = 1;
     if (p.parallel > 0) {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -328,4 +328,13 @@
   AwaitFigure(site.gateway->ops_port, "errors.quote", 1);
 }
 
+// Another customer's settings: a plan that has neither a rate nor a cap is within its quota.
+TEST(Settings, APlanWithoutAQuotaIsServed) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}),
+            With({{"/tiers-of-service/0/units-per-s", 0.0}, {"/tiers-of-service/0/store-size", 0.0}}));
+  auto client = site.gateway->Connect();
+  for (int spread : {1, 2}) EXPECT_EQ(Ask(*client, Request("quote", spread)).status(), 200);
+}
+
 }  // namespace
