--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -192,6 +192,43 @@
   std::thread accepting_;
 };
 
+// A listener whose connections do not come up until Free: its queue is full, and what asks to connect asks again.
+class LateListener {
+ public:
+  LateListener() {
+    sockaddr_in at;
+    fd_ = Loopback(&at, 0);
+    EXPECT_EQ(bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    EXPECT_EQ(listen(fd_, 0), 0);
+    socklen_t size = sizeof(at);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+    filler_ = Wire::To(port_);
+  }
+  ~LateListener() { close(fd_); }
+  int port() const { return port_; }
+  void Free() {
+    Wire taken(accept(fd_, nullptr, nullptr));
+    filler_->Close();
+  }
+  // All that has been sent to it; once the other side has ended, that is all there will ever be.
+  std::string Sent() {
+    std::string all;
+    pollfd ready{fd_, POLLIN, 0};
+    while (poll(&ready, 1, 0) > 0) {
+      Wire late(accept(fd_, nullptr, nullptr));
+      while (late.More()) {
+      }
+      all += late.unread;
+    }
+    return all;
+  }
+
+ private:
+  int fd_ = -1, port_ = 0;
+  std::unique_ptr<Wire> filler_;
+};
+
 // A flag or count that tests wait for.
 class Event {
  public:
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -299,27 +299,15 @@
 
 // A connection that comes up after its attempt was given up carries nothing.
 TEST(Gateway, SendsNothingOnALateConnection) {
-  sockaddr_in at;
-  int fd = Loopback(&at, 0);
-  ASSERT_EQ(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
-  ASSERT_EQ(listen(fd, 0), 0);
-  socklen_t size = sizeof(at);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-  auto filler = Wire::To(ntohs(at.sin_port));  // takes the only place in the listener's queue
+  LateListener backend;
   {
-    Site site(json::array({Entry("s1", ntohs(at.sin_port))}));
+    Site site(json::array({Entry("s1", backend.port())}));
     auto client = site.gateway->Connect();
     EXPECT_EQ(Ask(*client, Request("send-lead")).status(), 503);
   }
   // The gateway has ended, so all that it ever sent is here.
-  pollfd ready{fd, POLLIN, 0};
-  for (int i = 0; i < 20 && poll(&ready, 1, 0) > 0; ++i) {
-    Wire late(accept(fd, nullptr, nullptr));
-    filler->Close();
-    late.More();
-    EXPECT_EQ(late.unread, "");
-  }
-  close(fd);
+  backend.Free();
+  EXPECT_EQ(backend.Sent(), "");
 }
 
 TEST(Gateway, CancelsWhatIsOutWhenItsClientHasGone) {
