--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -45,7 +45,7 @@
   const tcp::endpoint& address() const { return address_; }
   bool may_have_run() const { return written_; }
   bool open() const { return open_; }
-  bool rested() const { return Clock::now() >= rested_; }
+  bool rested(Clock::time_point now) const { return now >= rested_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
 
   void Begin(uint64_t attempt, std::string message, AttemptLimits limits, Done done, AttemptStream stream) {
@@ -446,10 +446,14 @@
   Backend* b = Find(backend);
   bool may = MaySend(backend);
   std::shared_ptr<Connection> connection;
-  for (size_t i = may ? b->kept.size() : 0; i-- > 0 && connection == nullptr;) {
-    if (!b->kept[i]->rested()) continue;
-    std::shared_ptr<Connection> kept = std::move(b->kept[i]);
-    b->kept.erase(b->kept.begin() + static_cast<ptrdiff_t>(i));
+  while (may && connection == nullptr) {
+    // In the order of their last answers, so those that have rested come first.
+    auto at = std::partition_point(b->kept.begin(), b->kept.end(), [now = Clock::now()](const auto& kept) {
+      return kept->rested(now);
+    });
+    if (at == b->kept.begin()) break;
+    std::shared_ptr<Connection> kept = std::move(*--at);
+    b->kept.erase(at);
     kept->LeaveIdle();
     if (kept->Usable()) {
       connection = std::move(kept);
