Bytes are read only when they are there, and not into a buffer that is consumed meanwhile

Cause: ClientServer::Connection::Read began its read with buffer_.prepare() and left it pending while an answer or a piece was on its way. Pull (ParseUpload) and Sent (Parse) then consume the buffer; when they empty it, flat_buffer goes back to its beginning, and the pending read's commit exposes what lay there before instead of the new bytes. A long body got an old piece twice. Worse, and found by the test: of requests sent ahead, an earlier one was sent on a second time instead of the one that came, also an unsafe one. Ruled out: two attempts that share an upload (none goes out once it is spent), a body cut by the memory's budget.

Change: the connection waits until it is readable and makes room then. What is read and what is dropped is decided at that moment too, so a full buffer ends a connection only where more has really come.

Both tests fail without the change.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -163,47 +163,51 @@
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
+  bool Full() const {
+    return buffer_.size() >= (uploading_ ? 2 * kPiece : kMaxHeader + server_->MostHeld());
+  }
+  // An upload's own bytes wait for who takes them.
+  bool MayRead() const { return !Full() || (!uploading_ && dropped_ < kMostLingerBytes); }
+
+  // Waits for bytes, and makes room for them only when they are there. What is in the buffer may be consumed
+  // while this waits, which moves the end behind which a read that was begun before would have put them.
   void Read() {
-    if (reading_ || state_ == State::kClosed) return;
-    // An upload's own bytes wait for who takes them.
-    if (buffer_.size() >= (uploading_ ? 2 * kPiece : kMaxHeader + server_->MostHeld())) {
-      if (!uploading_ && dropped_ < kMostLingerBytes) ReadAndDrop();
-      return;
-    }
+    if (reading_ || state_ == State::kClosed || !MayRead()) return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk),
-                            [self = shared_from_this(), this](error_code error, size_t n) {
-                              reading_ = false;
-                              if (state_ == State::kClosed) return;
-                              // An end in the middle of an answer's last bytes, or while nothing is held,
-                              // only ends the connection; while a request is held the client has gone away.
-                              if (error) return Close();
-                              buffer_.commit(n);
-                              if (state_ == State::kLingering) {
-                                lingered_ += n;
-                                buffer_.clear();
-                                if (lingered_ > kMostLingerBytes) return Close();
-                              } else if (state_ == State::kReading) {
-                                Parse();
-                              } else if (uploading_) {
-                                brought_ += n;
-                                ParseUpload();
-                              }
-                              Read();
-                            });
-  }
-
-  void ReadAndDrop() {
-    reading_ = dropping_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), this](error_code error) {
+      reading_ = false;
+      if (state_ == State::kClosed || (!error && !MayRead())) return;
+      bool drop = Full();
+      size_t n = 0;
+      if (!error)
+        n = socket_.read_some(drop ? asio::buffer(server_->scratch_) : buffer_.prepare(kReadChunk), error);
+      if (error == asio::error::would_block) return Read();
+      // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection;
+      // while a request is held the client has gone away.
+      if (error) return Close();
+      drop ? Dropped(n) : Came(n);
+      Read();
+    });
+  }
+
+  void Dropped(size_t n) {
+    dropping_ = true;
     keep_ = false;
-    socket_.async_read_some(asio::buffer(server_->scratch_),
-                            [self = shared_from_this(), this](error_code error, size_t n) {
-                              reading_ = false;
-                              if (state_ == State::kClosed) return;
-                              if (error) return Close();
-                              dropped_ += n;
-                              Read();
-                            });
+    dropped_ += n;
+  }
+
+  void Came(size_t n) {
+    buffer_.commit(n);
+    if (state_ == State::kLingering) {
+      lingered_ += n;
+      buffer_.clear();
+      if (lingered_ > kMostLingerBytes) Close();
+    } else if (state_ == State::kReading) {
+      Parse();
+    } else if (uploading_) {
+      brought_ += n;
+      ParseUpload();
+    }
   }
 
   void Parse() {
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -162,6 +162,49 @@
   EXPECT_LT(Clock::now() - began, std::chrono::seconds(15)) << "not after the deadlines";
 }
 
+// What a client sends while an earlier request of it leaves the buffer is taken as it came.
+TEST(Reading, ARequestThatComesBehindOneSentAheadIsTheOneSentOn) {
+  Event go;
+  Backend backend([&](const Message&, Wire&) { return go.Wait(), Ok("x"); });
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  client->Write(Request("quote") + Request("quote"));
+  ASSERT_TRUE(backend.requests.Wait());  // the second lies in the buffer, and more is waited for
+  go.Add();
+  EXPECT_EQ(client->Read().status(), 200);
+  EXPECT_EQ(client->Read().status(), 200);
+  std::string third = Request("quote");
+  EXPECT_EQ(Ask(*client, third).status(), 200);
+  ASSERT_TRUE(backend.requests.Wait(3));
+  Message sent{third.substr(0, third.find("\r\n\r\n") + 2), "", true};
+  EXPECT_EQ(backend.request(2).Header("Request-Id"), sent.Header("Request-Id"));
+}
+
+// The rest of a long body that comes while the part before it is passed on stays as its client sent it.
+TEST(Reading, ALongBodyIsPassedOnAsItsClientSentIt) {
+  LateListener listener;
+  Site site(json::array({Entry("s1", listener.port())}),
+            With({{"/request-classes/2/hard-limit-s", 600.0}, {"/limits/connect-timeout-s", 600.0}}));
+  std::string body;
+  for (int i = 0; body.size() < size_t{1} << 17; ++i) body += std::to_string(i) + " ";
+  std::string request = Request("send-lead", 1, 600000, "", body);
+  size_t head = request.size() - body.size(), before = head + (size_t{24} << 10);  // a piece and a half
+  auto client = site.gateway->Connect(), probe = site.gateway->Connect();
+  client->Write(request.substr(0, before));
+  ASSERT_TRUE(client->Delivered());
+  // Each answer is a turn of the event loop in which what has come is read, a chunk at a time.
+  for (int turn = 0; turn < 32; ++turn) EXPECT_EQ(Ask(*probe, kReady).status(), 200);
+  listener.Free();
+  auto backend = listener.Take();
+  backend->Until("\r\n\r\n");
+  ASSERT_TRUE(backend->Until(before - head));  // all of it has left the buffer, and more is waited for
+  client->Write(request.substr(before));
+  ASSERT_TRUE(backend->Until(body.size()));
+  EXPECT_TRUE(backend->unread == body);
+  backend->Write(Ok("x"));
+  EXPECT_EQ(client->Read().status(), 200);
+}
+
 // A client that has left is noticed whatever it sent ahead.
 TEST(Closing, AClientThatLeavesBehindWhatItSentAheadIsNoticed) {
   for (size_t ahead : {size_t{1} << 10, size_t{40} << 10, size_t{1} << 20}) {
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -5,8 +5,10 @@
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -127,6 +129,15 @@
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
     return error;
   }
+  // Waits until the other side's system has all that was written.
+  bool Delivered() const {
+    for (int i = 0, left = 1; i < kLimitS * 1000; ++i) {
+      if (ioctl(fd_, SIOCOUTQ, &left) != 0) return false;
+      if (left == 0) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+  }
   void Stop() { shutdown(fd_, SHUT_RDWR); }
   void Close() {
     if (fd_ >= 0) close(fd_);
@@ -211,6 +222,7 @@
     Wire taken(accept(fd_, nullptr, nullptr));
     filler_->Close();
   }
+  std::unique_ptr<Wire> Take() { return std::make_unique<Wire>(accept(fd_, nullptr, nullptr)); }
   // All that has been sent to it; once the other side has ended, that is all there will ever be.
   std::string Sent() {
     std::string all;
