A discovery that refused is asked again within 2 s, however large the fleet

Need: a change counts as told 6 s after discovery had it and could be reached, whatever came of the calls before. Seen: in the new test, which plays discovery to whole fleets, 141 of 350 gateways were not told 6 s after an outage of 9 s in which every call was refused, and one gateway alone asked up to 2.3 times a second.

Cause: DiscoveryClient's ceiling on its back-off was 0.1 s times the fleet's gateways (kBackoffEach), 35 s at 350, and a second for a small one. Ruled out: a silent discovery, whose calls are given up after 2 s and asked again at once (backoff_ = {}).

Change: one ceiling for every fleet, the 6 s less two calls that are given up. The waits stay random, so a gateway asks about once in a second, which is as often as an answered one renews its watch; the test holds that too, at 1, 30 and 350 gateways. It fails on the program as found (209 of 350 told) and passes now.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -12,13 +12,18 @@
 using nlohmann::json;
 
 constexpr size_t kMaxList = size_t{8} << 20;
-// What a silent watch misses counts as told 6 s after its last word. Half of that goes to notice the silence,
-// which is the wait and kPatience, and the other half is left for the calls that make up for it.
+// A change counts as told so long after discovery had it and could be reached, whatever came of the calls before;
+// what a silent watch misses, so long after its last word.
+constexpr auto kTold = std::chrono::milliseconds(6000);
+// Of that, half goes to notice a silence, which is the wait and kPatience, and the other half is left for the calls
+// that make up for it.
 constexpr int kWaitMs = 1000;
 constexpr int kFirstWaitMs = 1;  // of a start: what has changed since the list it was given, at once
 constexpr auto kPatience = std::chrono::milliseconds(2000);  // as long as a call may wait for its turn
-constexpr auto kBackoffLeast = std::chrono::milliseconds(50), kBackoffMost = std::chrono::milliseconds(1000);
-constexpr auto kBackoffEach = std::chrono::milliseconds(100);  // of a fleet's gateways, that much for each
+constexpr auto kBackoffLeast = std::chrono::milliseconds(50);
+// The next call comes so soon that one more may be given up. A call comes after half of this in the mean, which is
+// as often as a watch is renewed: gateways that are refused ask for no more than those that are answered.
+constexpr auto kBackoffMost = kTold - 2 * kPatience;
 
 constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
 
@@ -96,8 +101,7 @@
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint address,
                                  std::shared_ptr<const lemonchute::policy::SiteSettings> site,
-                                 BackendIds* ids, OnList on_list, OnFailed on_failed, int gateways,
-                                 uint64_t seed)
+                                 BackendIds* ids, OnList on_list, OnFailed on_failed, uint64_t seed)
     : io_(io),
       address_(address),
       site_(std::move(site)),
@@ -106,13 +110,7 @@
       on_failed_(std::move(on_failed)),
       socket_(io),
       timer_(io),
-      rng_(seed) {
-  SetFleet(gateways);
-}
-
-void DiscoveryClient::SetFleet(int gateways) {
-  backoff_most_ = std::max<Clock::duration>(kBackoffMost, gateways * kBackoffEach);
-}
+      rng_(seed) {}
 
 void DiscoveryClient::SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site) {
   bool renamed = site->zones != site_->zones || site->kinds != site_->kinds;
@@ -235,7 +233,7 @@
 void DiscoveryClient::Failed(bool refused) {
   uint64_t turn = ++turn_;
   CloseNow(socket_);
-  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, backoff_most_);
+  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kBackoffLeast, kBackoffMost);
   // A watch that broke goes on after the same version. After a longer gap the whole list is asked for again,
   // so that no change is missed whatever the agent remembers. One that refuses is there and remembers: a
   // whole list from each gateway would only add to what discovery can't carry.
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -55,7 +55,7 @@
 
   DiscoveryClient(asio::io_context& io, tcp::endpoint address,
                   std::shared_ptr<const lemonchute::policy::SiteSettings> site, BackendIds* ids,
-                  OnList on_list, OnFailed on_failed, int gateways, uint64_t seed);
+                  OnList on_list, OnFailed on_failed, uint64_t seed);
 
   // Before the start: goes on from the list of this version, which costs discovery less than a whole one.
   void Resume(uint64_t index);
@@ -65,7 +65,6 @@
   void Move(const tcp::endpoint& address);
   // Other names of zones and kinds: the whole list is asked for again where they differ.
   void SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site);
-  void SetFleet(int gateways);
 
  private:
   void AskAnew();
@@ -90,7 +89,6 @@
   std::optional<uint64_t> index_;
   uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
   Clock::duration backoff_{};
-  Clock::duration backoff_most_;
   std::mt19937_64 rng_;
   bool running_ = false, whole_next_ = true, resuming_ = false;
 };
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -146,7 +146,7 @@
             });
             ready_ = true;  // by the list as last known
           },
-          config.settings.gateways, config.seed),
+          config.seed),
       members_(io),
       timer_(io),
       sibling_timer_(io),
@@ -579,7 +579,6 @@
   const auto& site = config_->site;
   pool_.SetLimits(site.conn_idle_s, site.connect_timeout_s, site.drain_grace_s);
   ShareLimits();
-  discovery_.SetFleet(config_->settings.gateways);
   discovery_.SetSite({config_, &site});
   discovery_.Move(config_->discovery);
   members_.Follow(*config_);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,6 +1,7 @@
 // Two events that cross: a peer holds a byte back, or sends it, at the point where it hurts most.
 #include <chrono>
 #include <memory>
+#include <set>
 
 #include "gateway_site.h"
 #include "net/backend_pool.h"
@@ -35,7 +36,6 @@
       &ids,
       [](const lemonchute::net::BackendList&) {},
       [] {},
-      1,
       1};
 };
 
@@ -83,7 +83,6 @@
     }
   });
   lone = &run;
-  run.client.SetFleet(600);  // whose back-off may be a minute
   run.Run();
   EXPECT_EQ(watches, kRefused + 2);
   EXPECT_EQ(whole, 1) << "the back-off began anew: only after longer gaps the whole list is asked for";
@@ -124,6 +123,78 @@
   return config;
 }
 
+// Discovery's agent for a whole fleet within one event loop: refuses every call for a time, then answers.
+class FleetAgent {
+ public:
+  FleetAgent(boost::asio::io_context& io, std::chrono::milliseconds refuses)
+      : acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0}), until_(Clock::now() + refuses) {
+    Accept();
+  }
+  boost::asio::ip::tcp::endpoint at() const { return acceptor_.local_endpoint(); }
+  Clock::time_point until() const { return until_; }
+  std::vector<Clock::time_point> refused;
+
+ private:
+  struct Talk {
+    explicit Talk(boost::asio::ip::tcp::socket from) : socket(std::move(from)) {}
+    boost::asio::ip::tcp::socket socket;
+    std::string text;
+  };
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
+      if (error) return;
+      Hear(std::make_shared<Talk>(std::move(socket)));
+      Accept();
+    });
+  }
+  void Hear(std::shared_ptr<Talk> talk) {
+    auto to = boost::asio::dynamic_buffer(talk->text);
+    boost::asio::async_read_until(talk->socket, to, "\r\n\r\n", [this, talk](auto error, size_t) {
+      if (error) return;
+      bool refuse = Clock::now() < until_, watch = talk->text.find("after=") != std::string::npos;
+      talk->text.clear();
+      if (!refuse && watch) return open_.push_back(talk);  // nothing to tell
+      if (refuse) refused.push_back(Clock::now());
+      std::string busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+      std::string answer = refuse ? busy : List(4, json::array(), true);
+      boost::asio::write(talk->socket, boost::asio::buffer(answer));
+      Hear(talk);
+    });
+  }
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const Clock::time_point until_;
+  std::vector<std::shared_ptr<Talk>> open_;
+};
+
+// Whatever came of the calls before, a change counts as told 6 s after discovery could be reached again; and a
+// fleet that is refused asks for no more than one that is answered, which is a watch a second from each gateway.
+TEST(Watch, AFleetThatWasRefusedIsToldWithinSixSecondsAndAsksNoMoreThanOneThatIsServed) {
+  constexpr auto kOutage = std::chrono::seconds(9), kSettled = std::chrono::seconds(5);
+  for (size_t gateways : {1, 30, 350}) {
+    boost::asio::io_context io{1};
+    FleetAgent agent(io, kOutage);
+    std::set<size_t> told;
+    std::vector<std::unique_ptr<lemonchute::net::DiscoveryClient>> fleet;
+    lemonchute::net::BackendIds ids;
+    for (size_t i = 0; i < gateways; ++i) {
+      auto on_list = [&, i](const lemonchute::net::BackendList&) {
+        if (told.insert(i); told.size() == gateways) io.stop();
+      };
+      fleet.push_back(std::make_unique<lemonchute::net::DiscoveryClient>(
+          io, agent.at(), std::make_shared<const lemonchute::policy::SiteSettings>(), &ids, on_list, [] {},
+          i + 1));
+      fleet.back()->Start();
+    }
+    io.run_until(agent.until() + std::chrono::seconds(6));
+    EXPECT_EQ(told.size(), gateways);
+    auto late = std::count_if(agent.refused.begin(), agent.refused.end(),
+                              [&](auto at) { return at >= agent.until() - (kOutage - kSettled); });
+    auto seconds = std::chrono::seconds(kOutage - kSettled).count();
+    EXPECT_LE(late, 1.2 * static_cast<double>(gateways) * static_cast<double>(seconds) + 3) << gateways;
+    for (auto& client : fleet) client->Stop();
+  }
+}
+
 // A request that comes on a resting connection just as that is closed: it is not sent on, since its answer could
 // reach nobody, and the connection is not reset over it, which would take along what the client has not read.
 TEST(Closing, ARequestBehindTheHalfCloseIsNeitherSentOnNorResetsTheConnection) {
