An attempt tells the time that is left when it is written, not when it was decided on

Cause: Gateway::SendAttempt wrote Request-Timeout-Ms into the message before BackendPool opened a connection, which may take the whole connect time-out; and with a long request it told the time that the upload may take as well (21.5 s of a client's 20 s, the test). Ruled out: the module's own patience, which is cut by the deadline at the same place.

Change: the pool fills the time in when the first byte is written, from the same end that it gives up at, and never more than the client's own.

The test fails without the change in both its halves.

--- a/lab/tests/cuts.cmake
+++ b/lab/tests/cuts.cmake
@@ -37,7 +37,7 @@
 lab_cut(told_twice balance.cpp "a.amount = call.amount;" "a.amount = 2 * call.amount;")
 # In the network code.
 lab_cut(copies net/gateway.cpp "  held.attempts.back().number = pool_.Send("
-        "  for (int i = 0; i < 3; ++i) pool_.Send(backend, std::string(message), {patience, 0}, [](AttemptEnd) {}, {});
+        "  for (int i = 0; i < 3; ++i) pool_.Send(backend, AttemptMessage(message), {patience, 0}, [](AttemptEnd) {}, {});
   held.attempts.back().number = pool_.Send(")
 lab_cut(late net/gateway.cpp "      return Finish(action.request, std::move(answer));
     }
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -48,11 +48,13 @@
   bool rested(Clock::time_point now) const { return now >= rested_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
 
-  void Begin(uint64_t attempt, std::string message, AttemptLimits limits, Done done, AttemptStream stream) {
+  void Begin(uint64_t attempt, AttemptMessage message, AttemptLimits limits, Done done, AttemptStream stream) {
     busy_ = true;
     written_ = false;
     attempt_ = attempt;
-    message_ = std::move(message);
+    message_ = std::move(message.text);
+    timeout_at_ = message.timeout_at;
+    most_timeout_s_ = message.most_timeout_s;
     done_ = std::move(done);
     stream_ = std::move(stream);
     streaming_ = held_up_ = uploading_ = false;
@@ -148,6 +150,10 @@
 
   void Opened() {
     wrote_at_ = Clock::now();
+    if (timeout_at_ != std::string::npos) {
+      double left = std::min(std::chrono::duration<double>(give_up_ - wrote_at_).count(), most_timeout_s_);
+      message_.insert(timeout_at_, std::to_string(std::max(1L, static_cast<long>(left * 1000))));
+    }
     WaitUntil(by_pieces_ ? std::min(give_up_, wrote_at_ + kStall) : give_up_);
     Write();
   }
@@ -352,6 +358,8 @@
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::optional<std::list<Connection*>::iterator> idle_at_;
   std::string message_;
+  size_t timeout_at_ = std::string::npos;
+  double most_timeout_s_ = 0;
   std::string body_;  // of the answer, as far as it is not passed on
   AttemptStream stream_;
   Done done_;
@@ -440,7 +448,7 @@
   return true;
 }
 
-uint64_t BackendPool::Send(uint32_t backend, std::string message, AttemptLimits limits, Done done,
+uint64_t BackendPool::Send(uint32_t backend, AttemptMessage message, AttemptLimits limits, Done done,
                            AttemptStream stream) {
   uint64_t attempt = ++last_attempt_;
   Backend* b = Find(backend);
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -46,6 +46,14 @@
   std::function<void(std::function<void(std::string bytes, bool last)>)> more;
 };
 
+// A request's bytes, as far as they are held.
+struct AttemptMessage {
+  std::string text;
+  // Where in it the time is told that the attempt has, once it is written: a connection may come up late.
+  size_t timeout_at = std::string::npos;
+  double most_timeout_s = 0;  // the client's own
+};
+
 // How long an attempt may take, and how late it may begin to be written; seconds from now.
 struct AttemptLimits {
   double patience_s = 0;
@@ -69,7 +77,8 @@
   // Sends `message` on a kept connection or a new one. `done` runs exactly once, never within this call,
   // unless Cancel ends the attempt. Returns the attempt's number for Cancel. Patience holds until a large
   // answer begins; from then on it must only come on.
-  uint64_t Send(uint32_t backend, std::string message, AttemptLimits limits, Done done, AttemptStream stream);
+  uint64_t Send(uint32_t backend, AttemptMessage message, AttemptLimits limits, Done done,
+                AttemptStream stream);
 
   // Closes the attempt's connection at once. False if it has ended already. `done` is not run.
   bool Cancel(uint64_t attempt, bool* may_have_run);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -316,11 +316,12 @@
       OnEnd(id, attempt, backend, std::move(end));
     });
   }
-  std::string message;
-  message.reserve(held.head.size() + held.body.size() + 48);
-  message.append(held.head).append("Request-Timeout-Ms: ");
-  message.append(std::to_string(std::max(1L, std::lround(patience * 1000)))).append("\r\n\r\n");
-  message.append(held.body);
+  AttemptMessage message;
+  message.text.reserve(held.head.size() + held.body.size() + 48);
+  message.text.append(held.head).append("Request-Timeout-Ms: ");
+  message.timeout_at = message.text.size();
+  message.most_timeout_s = held.timeout_s;
+  message.text.append("\r\n\r\n").append(held.body);
   held.attempts.back().out = true;
   held.attempts.back().number = pool_.Send(
       backend, std::move(message), {patience, action.begin_s},
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -334,6 +334,33 @@
   EXPECT_EQ(backend.Sent(), "");
 }
 
+// What an attempt tells its backend is what is left to the client when it is written, also where its connection has
+// come up late, and with a long request no more than the client's own time.
+TEST(Attempt, OneOnALateConnectionTellsTheTimeThatIsLeft) {
+  constexpr int kTimeoutMs = 20000;
+  for (size_t body : {size_t{0}, size_t{100} << 10}) {
+    LateListener listener;
+    Site site(json::array({Entry("s1", listener.port())}),
+              With({{"/request-classes/2/hard-limit-s", 60.0}, {"/limits/connect-timeout-s", 60.0}}),
+              LEMONCHUTE_GATEWAY, 0, kOps);
+    auto client = site.gateway->Connect();
+    auto sent = Clock::now();
+    client->Write(Request("send-lead", 1, kTimeoutMs, "", std::string(body, 'x')));
+    AwaitFigure(site.gateway->ops_port, "active", 1);  // so its attempt has begun, and asks anew after a second
+    listener.Free();
+    auto backend = listener.Take();
+    auto came = Clock::now();
+    Message head{backend->Until("\r\n\r\n"), "", true};
+    auto gone = std::chrono::duration_cast<std::chrono::milliseconds>(came - sent).count();
+    int told = std::atoi(head.Header("Request-Timeout-Ms").c_str());
+    EXPECT_GT(told, 0);
+    EXPECT_LE(told, kTimeoutMs - (body == 0 ? gone - 150 : 0)) << "up after " << gone << " ms";
+    ASSERT_TRUE(backend->Until(body));
+    backend->Write(Ok("x"));
+    EXPECT_EQ(client->Read().status(), 200);
+  }
+}
+
 // A repeat must come within the window, not only be decided on in it: its connection may come up late.
 TEST(Attempt, ARepeatWhoseConnectionComesUpAfterTheWindowIsNotMade) {
   constexpr auto kWindow = std::chrono::milliseconds(400);
@@ -372,9 +399,9 @@
   pool.Update(1, {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(backend.port())});
   std::string second;
   auto get = [](const char* path) { return std::string("GET ") + path + " HTTP/1.1\r\nHost: x\r\n\r\n"; };
-  pool.Send(1, get("/one"), {20, 0}, [&](lemonchute::net::AttemptEnd one) {
+  pool.Send(1, {get("/one")}, {20, 0}, [&](lemonchute::net::AttemptEnd one) {
     EXPECT_EQ(one.body, "one");
-    pool.Send(1, get("/two"), {20, 0}, [&](lemonchute::net::AttemptEnd two) {
+    pool.Send(1, {get("/two")}, {20, 0}, [&](lemonchute::net::AttemptEnd two) {
       second = two.body;
       io.stop();
     }, {});
