A deadline on a backend that hangs is that backend's fault and no sign of a queue

Cause: Impl::OnTimer lowered the share let in at every deadline (Steer(2)), where Learn tells a silent backend from a busy one by whether it has answered since. And where an attempt is called off at the deadline its end is told as cancelled, so a request that can't be sent again taught nothing about the backend that hung, which went on being chosen.

Change: at the deadline silence counts as a fault of that backend; only otherwise as a queue. Where attempts can't be called off nothing is counted there, since the attempt's own end follows and tells the same.

The test fails without the change in both its halves.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -121,9 +121,9 @@
 };
 
 struct Try {
-  uint32_t node;
-  double sent;
-  bool out;
+  uint32_t node = 0;
+  double sent = 0;
+  bool out = false;
   double begun = 0;  // when the first byte of its stream came; from then on its backend's work is done
 };
 
@@ -1032,16 +1032,17 @@
     auto it = lives_.find(static_cast<uint32_t>(tag));
     if (it == lives_.end() || it->second.done || it->second.began) return;
     Live& l = it->second;
+    // A backend that has said nothing since the attempt went out hangs, where a busy one would answer others. Where
+    // it has answered what was sent to it later, the attempt's own connection may have fallen silent.
+    const Try t = l.tries.empty() ? Try{} : l.tries.back();
+    Node* n = FindNode(t.node);
+    bool silent = t.out && n != nullptr && n->heard <= t.sent;
     if (now >= l.deadline - 3 * s_.resolution_s) {  // before the client gives up
-      Steer(2, now);
+      // Where it is not called off, the attempt's own end follows, and tells the same.
+      if (l.cancel || l.out == 0) silent ? Fault(n, false, now, out) : Steer(2, now);
       return Finish(&l, out);
     }
     if (l.tries.empty()) return Arm(l, now, out);  // held for the counter
-    // A backend that has said nothing since the attempt went out hangs, where a busy one would answer others.
-    // Where it has answered what was sent to it later, the attempt's own connection may have fallen silent.
-    const Try& t = l.tries.back();
-    Node* n = FindNode(t.node);
-    bool silent = t.out && n != nullptr && n->heard <= t.sent;
     bool passed_over = t.out && n != nullptr && n->answered > t.sent;
     if ((silent || passed_over) && l.out == 1 && retry_store_ >= 1 &&
         s_.classes[l.r.cls].effect == Effect::kFree && MayResend(l, now)) {
--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -906,6 +906,44 @@
   EXPECT_TRUE(t.out.empty());
 }
 
+// Half of the backends hang, and requests that can't be sent again are lost on them: that is their fault. The
+// others are not busy because of it.
+TEST(Overload, ADeadlineOnABackendThatHangsIsNoSignOfAQueue) {
+  for (bool cancel : {false, true}) {
+    Settings s = Site();
+    s.may_count = false;
+    s.cancel = cancel;
+    Bench t(s);
+    std::map<uint32_t, std::pair<double, uint32_t>> hanging;  // requests, their deadlines and backends
+    int refused = 0;
+    for (int i = 0; i < 200; ++i) {
+      t.now += 0.5;
+      for (auto it = hanging.begin(); it != hanging.end();) {
+        auto [deadline, at] = it->second;
+        if (t.now < deadline) {
+          ++it;
+          continue;
+        }
+        t.out.clear();
+        t.b.OnTimer(deadline, it->first, &t.out);
+        t.End(it->first, at, cancel ? Result::kCancelled : Result::kTimeout);
+        it = hanging.erase(it);
+      }
+      uint32_t id = t.Ask(1, 2, 1.0, 1000 + static_cast<uint64_t>(i));
+      const Action* send = t.Got(ActionKind::kSend);
+      if (send == nullptr) {
+        ++refused;
+      } else if (uint32_t at = send->backend; at < 52) {
+        hanging[id] = {t.now + 0.998, at};
+      } else {
+        t.now += 0.13;
+        t.End(id, at, Result::kOk);
+      }
+    }
+    EXPECT_EQ(refused, 0) << "cancel " << cancel;
+  }
+}
+
 TEST(Attempts, ASilentBackendIsLeft) {
   Bench t(Site());
   uint32_t id = t.Ask(1, 0, 1.4);
