--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -1032,8 +1032,8 @@
     auto it = lives_.find(static_cast<uint32_t>(tag));
     if (it == lives_.end() || it->second.done || it->second.began) return;
     Live& l = it->second;
-    // A backend that has said nothing since the attempt went out hangs, where a busy one would answer others. Where
-    // it has answered what was sent to it later, the attempt's own connection may have fallen silent.
+    // A backend that has said nothing since the attempt went out hangs, where a busy one would answer others.
+    // Where it has answered what was sent to it later, the attempt's own connection may have fallen silent.
     const Try t = l.tries.empty() ? Try{} : l.tries.back();
     Node* n = FindNode(t.node);
     bool silent = t.out && n != nullptr && n->heard <= t.sent;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -433,7 +433,7 @@
         [&] {
           if (++failed == kAsks) io.stop();
         },
-        100, seed);
+        seed);
     client.Start();
     io.run();
     sixth[seed - 1] = std::chrono::steady_clock::now() - began;
