A moved discovery is asked for what has changed, and whole lists are spread out

Cause: DiscoveryClient::AskAnew, by which Move asked for the whole list. Some 300 gateways do so in the same moment, discovery pays for each line, and its full line refuses watches as well.

Change: Move goes on from the version that the gateway has, which is a few lines, and asks for the whole list at a random time within 60 s, the longest that the protocol lets a watch wait.

One test played a second discovery with other content under the same version, which no list of the protocol has; it tells a later version now and asserts what it did. The new test fails without the change.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -25,6 +25,10 @@
 // as often as a watch is renewed: gateways that are refused ask for no more than those that are answered.
 constexpr auto kBackoffMost = kTold - 2 * kPatience;
 
+// After a move. Discovery pays for each line of a list, so those of a fleet are spread over the longest that the
+// protocol lets a watch wait: who waits so long for a change may wait so long to see that nothing is amiss.
+constexpr auto kWholeWithin = std::chrono::milliseconds(60000);
+
 constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
@@ -115,7 +119,9 @@
 void DiscoveryClient::SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site) {
   bool renamed = site->zones != site_->zones || site->kinds != site_->kinds;
   site_ = std::move(site);
-  if (renamed) AskAnew();  // what was told before was read by the old names
+  if (!renamed) return;
+  whole_next_ = true;  // what was told before was read by the old names
+  AskAnew();
 }
 
 void DiscoveryClient::Resume(uint64_t index) {
@@ -140,19 +146,26 @@
 void DiscoveryClient::Move(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
+  whole_due_ = Clock::now() + AtRandom(kWholeWithin);
   AskAnew();  // what the old address had still to tell is not waited for
 }
 
 void DiscoveryClient::AskAnew() {
   CloseNow(socket_);
   backoff_ = {};
-  whole_next_ = true;
   Ask();
 }
 
+// Gateways of a fleet that come at one moment don't come together the next time.
+Clock::duration DiscoveryClient::AtRandom(Clock::duration most) {
+  std::uniform_real_distribution<double> part(0, 1);
+  return std::chrono::duration_cast<Clock::duration>(most * part(rng_));
+}
+
 void DiscoveryClient::Ask() {
   if (!running_) return;
   uint64_t turn = ++turn_;
+  if (whole_due_ && Clock::now() >= *whole_due_) whole_next_ = true;
   bool watch = index_.has_value() && !whole_next_;
   int wait_ms = !watch ? 0 : resuming_ ? kFirstWaitMs : kWaitMs;
   message_ = "GET /api/targets";
@@ -223,6 +236,7 @@
   }
   if (whole_next_ && !list.full) return Failed();
   if (!parser_->keep_alive() || buffer_.size() > 0) CloseNow(socket_);
+  if (list.full) whole_due_.reset();
   whole_next_ = resuming_ = false;
   index_ = list.index;
   backoff_ = {};
@@ -238,9 +252,7 @@
   // so that no change is missed whatever the agent remembers. One that refuses is there and remembers: a
   // whole list from each gateway would only add to what discovery can't carry.
   if (!refused && backoff_ > 2 * kBackoffLeast) whole_next_ = true;
-  // At random up to the back-off: gateways that failed together don't come again together.
-  std::uniform_real_distribution<double> part(0, 1);
-  timer_.expires_after(std::chrono::duration_cast<Clock::duration>(backoff_ * part(rng_)));
+  timer_.expires_after(AtRandom(backoff_));
   timer_.async_wait([this, turn](error_code cancelled) {
     if (!cancelled && turn == turn_) Ask();
   });
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -61,13 +61,15 @@
   void Resume(uint64_t index);
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
-  // Asks at another address from now on, for the whole list first.
+  // Asks at another address from now on: what has changed since the version that it has at once, and the whole
+  // list some seconds later, since one from each gateway of a fleet at once is more than discovery carries.
   void Move(const tcp::endpoint& address);
   // Other names of zones and kinds: the whole list is asked for again where they differ.
   void SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site);
 
  private:
   void AskAnew();
+  Clock::duration AtRandom(Clock::duration most);
   void Ask();
   void Connect();
   void Send();
@@ -89,6 +91,7 @@
   std::optional<uint64_t> index_;
   uint64_t turn_ = 0;  // of the exchange: handlers of an earlier one do nothing
   Clock::duration backoff_{};
+  std::optional<Clock::time_point> whole_due_;  // of an address gone to, whose list was not seen whole
   std::mt19937_64 rng_;
   bool running_ = false, whole_next_ = true, resuming_ = false;
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -195,6 +195,35 @@
   }
 }
 
+// A new configuration moves discovery for a whole fleet at once: each gateway asks for what has changed at once,
+// which discovery carries, and not for a whole list, which it does not.
+TEST(Watch, AMovedDiscoveryIsAskedForWhatHasChanged) {
+  LoneClient* lone = nullptr;
+  std::vector<std::string> asked;
+  Server moved([&](Wire& wire) {
+    Message ask = wire.Read();
+    asked.push_back(ask.head.substr(0, ask.head.find(" HTTP")));
+    wire.Write(List(5, json::array(), false));
+    wire.Read();
+    lone->io.stop();
+  });
+  LoneClient run([&](Wire& wire) {
+    wire.Read();
+    wire.Write(List(4, json::array(), true));
+    wire.Read();  // its watch
+    boost::asio::post(lone->io, [&] {
+      lone->client.Move(
+          {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(moved.port())});
+    });
+    wire.Ended();
+  });
+  lone = &run;
+  run.Run();
+  moved.Stop();
+  ASSERT_EQ(asked.size(), 1u);
+  EXPECT_EQ(asked[0].find("GET /api/targets?after=4&"), 0u) << asked[0];
+}
+
 // A request that comes on a resting connection just as that is closed: it is not sent on, since its answer could
 // reach nobody, and the connection is not reset over it, which would take along what the client has not read.
 TEST(Closing, ARequestBehindTheHalfCloseIsNeitherSentOnNorResetsTheConnection) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -374,7 +374,8 @@
   Backend one([&](const Message&, Wire&) { return held.Add(), go.Wait(), Ok("one"); });
   Backend two(Says(Ok("two")));
   Site site(json::array({Entry("a", one.port())}));
-  Discovery discovery;
+  Discovery discovery;  // tells of a later version, as a list of one version has one content
+  discovery.Set(json::array({Entry("a", one.port())}));
   discovery.Set(json::array({Entry("b", two.port())}));
   Counter counter([](const std::string&, double) { return Bulk("0"); });
   auto early = site.gateway->Connect(), late = site.gateway->Connect();
