--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -25,8 +25,8 @@
 // as often as a watch is renewed: gateways that are refused ask for no more than those that are answered.
 constexpr auto kBackoffMost = kTold - 2 * kPatience;
 
-// After a move. Discovery pays for each line of a list, so those of a fleet are spread over the longest that the
-// protocol lets a watch wait: who waits so long for a change may wait so long to see that nothing is amiss.
+// After a move. Discovery pays for each line of a list, so those of a fleet are spread over the longest that
+// the protocol lets a watch wait: who waits so long for a change may wait so long to see that nothing is amiss.
 constexpr auto kWholeWithin = std::chrono::milliseconds(60000);
 
 constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -61,8 +61,8 @@
   void Resume(uint64_t index);
   void Start();  // no-op once running: what fails is tried again here
   void Stop();
-  // Asks at another address from now on: what has changed since the version that it has at once, and the whole
-  // list some seconds later, since one from each gateway of a fleet at once is more than discovery carries.
+  // Asks at another address from now on: at once for what has changed since the version that it has, and for
+  // the whole list some time later, since one from each gateway of a fleet is more than discovery carries.
   void Move(const tcp::endpoint& address);
   // Other names of zones and kinds: the whole list is asked for again where they differ.
   void SetSite(std::shared_ptr<const lemonchute::policy::SiteSettings> site);
