--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -455,8 +455,8 @@
   EXPECT_LT(calls, 200);
 }
 
-// Each of the gateways that a customer may come through lets its part in, however often it is asked for more: one
-// who asks again and again, since refused, is not locked out.
+// Each of the gateways that a customer may come through lets its part in, however often it is asked for more:
+// one who asks again and again, since refused, is not locked out.
 TEST(Counter, WithoutOneWhoeverAsksTooOftenHasThisGatewaysPart) {
   Settings s = Site();
   s.may_count = false;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -166,8 +166,8 @@
   std::vector<std::shared_ptr<Talk>> open_;
 };
 
-// Whatever came of the calls before, a change counts as told 6 s after discovery could be reached again; and a
-// fleet that is refused asks for no more than one that is answered, which is a watch a second from each gateway.
+// Whatever came of the calls before, a change counts as told 6 s after discovery could be reached again. A fleet
+// that is refused asks for no more than one that is answered, which is a watch a second from each gateway.
 TEST(Watch, AFleetThatWasRefusedIsToldWithinSixSecondsAndAsksNoMoreThanOneThatIsServed) {
   constexpr auto kOutage = std::chrono::seconds(9), kSettled = std::chrono::seconds(5);
   for (size_t gateways : {1, 30, 350}) {
@@ -195,8 +195,8 @@
   }
 }
 
-// A new configuration moves discovery for a whole fleet at once: each gateway asks for what has changed at once,
-// which discovery carries, and not for a whole list, which it does not.
+// A new configuration moves discovery for a whole fleet at once: each gateway asks for what has changed, which
+// discovery carries, and not for a whole list, which it does not.
 TEST(Watch, AMovedDiscoveryIsAskedForWhatHasChanged) {
   LoneClient* lone = nullptr;
   std::vector<std::string> asked;
@@ -363,8 +363,8 @@
   EXPECT_EQ(backend.Sent(), "");
 }
 
-// What an attempt tells its backend is what is left to the client when it is written, also where its connection has
-// come up late, and with a long request no more than the client's own time.
+// What an attempt tells its backend is what is left to the client when it is written, also where its connection
+// has come up late, and with a long request no more than the client's own time.
 TEST(Attempt, OneOnALateConnectionTellsTheTimeThatIsLeft) {
   constexpr int kTimeoutMs = 20000;
   for (size_t body : {size_t{0}, size_t{100} << 10}) {
@@ -375,7 +375,7 @@
     auto client = site.gateway->Connect();
     auto sent = Clock::now();
     client->Write(Request("send-lead", 1, kTimeoutMs, "", std::string(body, 'x')));
-    AwaitFigure(site.gateway->ops_port, "active", 1);  // so its attempt has begun, and asks anew after a second
+    AwaitFigure(site.gateway->ops_port, "active", 1);  // its attempt has begun, and asks anew after a second
     listener.Free();
     auto backend = listener.Take();
     auto came = Clock::now();
