A short write is followed by the next one, and interrupted calls are made again

Cause: asio's composed write takes a write of fewer bytes than asked for as a full buffer (done_and_exhausted in reactive_socket_send_op) and waits for an edge of epoll, which does not come while there is room; calls that a signal interrupts were taken for a broken connection. Ruled out: reads, which asio goes on with after a short one.

Writes now go on until the kernel says that there is no room, and each wait for room arms epoll anew.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -82,7 +82,7 @@
     chunked_ = !length && version_ >= 11;
     to_its_end_ = !length && !chunked_;
     if (server_->asking_to_close_ || to_its_end_) keep_ = false;
-    unsent_ = "HTTP/1.1 200 OK\r\n";
+    unsent_ = std::exchange(interim_rest_, std::string()) + "HTTP/1.1 200 OK\r\n";
     if (length) unsent_ += "Content-Length: " + std::to_string(*length) + "\r\n";
     if (chunked_) unsent_ += "Transfer-Encoding: chunked\r\n";
     unsent_.append(headers).append(Persistence(keep_)).append("\r\n");
@@ -105,10 +105,8 @@
   // reset the connection over it, and take a last answer that was not read yet along.
   bool CloseIfIdle(std::chrono::milliseconds linger) {
     if (!idle()) return false;
-    char byte;
     error_code error;
-    size_t n = socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (n > 0) return false;
+    if (PeekByte(socket_, error) > 0) return false;
     NotIdle();
     Linger(linger);
     return true;
@@ -142,7 +140,9 @@
     error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
     for (size_t read = 0, n = 1; n > 0 && read < kMostLingerBytes; read += n)
-      n = socket_.receive(asio::buffer(server_->scratch_), 0, error);
+      n = Uninterrupted(error, [&](error_code& failed) {
+        return socket_.receive(asio::buffer(server_->scratch_), 0, failed);
+      });
     CloseNow(socket_);
   }
 
@@ -179,8 +179,10 @@
       if (state_ == State::kClosed || (!error && !MayRead())) return;
       bool drop = Full();
       size_t n = 0;
-      if (!error)
-        n = socket_.read_some(drop ? asio::buffer(server_->scratch_) : buffer_.prepare(kReadChunk), error);
+      if (!error) {
+        auto room = drop ? asio::buffer(server_->scratch_) : buffer_.prepare(kReadChunk);
+        n = Uninterrupted(error, [&](error_code& failed) { return socket_.read_some(room, failed); });
+      }
       if (error == asio::error::would_block) return Read();
       // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection;
       // while a request is held the client has gone away.
@@ -268,8 +270,9 @@
     }
     continued_ = true;
     static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    error_code ignored;
-    socket_.send(asio::buffer(kContinue), 0, ignored);
+    error_code ignored;  // the read tells
+    size_t sent = SendAvailable(socket_, kContinue, ignored);
+    if (sent > 0) interim_rest_ = kContinue.substr(sent);
   }
 
   // Hands the next piece of an upload to who has asked for it. No more than a piece is held meanwhile.
@@ -336,8 +339,8 @@
     state_ = State::kWriting;
     uploading_ = false;
     pull_ = nullptr;
-    message_.clear();
-    message_.reserve(answer.headers.size() + answer.body.size() + 160);
+    message_ = std::exchange(interim_rest_, std::string());
+    message_.reserve(message_.size() + answer.headers.size() + answer.body.size() + 160);
     char text[96];
     int n = std::snprintf(text, sizeof(text), "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", answer.status,
                           Reason(answer.status), answer.body.size());
@@ -449,6 +452,7 @@
   bool uploading_ = false, in_body_ = false;
   std::optional<std::list<uint64_t>::iterator> idle_at_;
   std::string message_, unsent_;  // being written; of a stream, still to be
+  std::string interim_rest_;      // of an interim answer that did not fit: goes before the next one
   std::function<void()> taken_;   // to call when all of it is out
   unsigned version_ = 11;
   bool chunked_ = false, to_its_end_ = false, ended_ = false, whole_ = false,
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -198,11 +198,9 @@
 }
 
 void DiscoveryClient::Send() {
-  WriteAll(socket_, message_, [this, turn = turn_](error_code error) {
-    if (turn != turn_) return;
-    if (error) return Failed();
-    Read();
-  });
+  auto current = [this, turn = turn_] { return turn == turn_; };
+  auto done = [this](error_code error) { error ? Failed() : Read(); };
+  WriteWhileCurrent(socket_, message_, 0, done, current);
 }
 
 void DiscoveryClient::Read() {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,8 +1,7 @@
-// What all HTTP connections of the gateway share: sizes, header copying, and one write a message.
+// What all HTTP connections of the gateway share: sizes, header copying and parsers.
 #ifndef LEMONCHUTE_NET_HTTP_H_
 #define LEMONCHUTE_NET_HTTP_H_
 
-#include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -10,12 +9,11 @@
 #include <string_view>
 #include <utility>
 
+#include "net/socket_io.h"
+
 namespace lemonchute::net {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
-using boost::system::error_code;
 
 inline constexpr size_t kMaxBody = 64 * 1024;
 inline constexpr size_t kMaxHeader = 16 * 1024;
@@ -63,39 +61,6 @@
          boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
-// Sends at once what the socket takes, which is nearly always the whole message in one system call, and the
-// rest as it drains. Calls done(error) at once or later; `text` lives until then in the caller's hands.
-template <typename Done>
-void WriteAll(tcp::socket& socket, const std::string& text, Done done) {
-  error_code error;
-  size_t sent = socket.send(asio::buffer(text), 0, error);
-  if (error == asio::error::would_block) error = {};
-  if (error || sent == text.size()) return done(error);
-  asio::async_write(socket, asio::buffer(text.data() + sent, text.size() - sent),
-                    [done = std::move(done)](error_code later, size_t) mutable { done(later); });
-}
-
-// Whether the peer has closed a kept connection, or sent bytes that nobody asked for.
-inline bool Stale(tcp::socket& socket) {
-  char byte;
-  error_code error;
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
-}
-
-// Non-blocking and without delay, as every socket here is.
-inline error_code Prepare(tcp::socket& socket) {
-  error_code error;
-  socket.non_blocking(true, error);
-  if (!error) socket.set_option(tcp::no_delay(true), error);
-  return error;
-}
-inline error_code Open(tcp::socket& socket, const tcp::endpoint& address) {
-  error_code error;
-  socket.open(address.protocol(), error);
-  return error ? error : Prepare(socket);
-}
-
 // A parser for the next message, with its bounds. It is not eager: an eager one goes on into the body in the
 // same call and thereby drops the error by which a header past the body's limit is turned down.
 template <typename Parser>
@@ -105,11 +70,6 @@
   (*parser)->body_limit(most_body);
 }
 
-inline void CloseNow(tcp::socket& socket) {
-  error_code ignored;
-  socket.close(ignored);
-}
-
 }  // namespace lemonchute::net
 
 #endif  // LEMONCHUTE_NET_HTTP_H_
--- a/src/net/ops_server.cpp
+++ b/src/net/ops_server.cpp
@@ -80,8 +80,7 @@
     if (parser_->is_header_done() && !continued_ &&
         boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
       continued_ = true;
-      error_code ignored;
-      socket_.send(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), 0, ignored);
+      SendAvailable(socket_, "HTTP/1.1 100 Continue\r\n\r\n", error);  // a failure is the read's to tell
     }
   }
 
