An aborted connection is passed over and the next one accepted at once

Seen with the shim: after ECONNABORTED or EPROTO from accept the next connection waits, unanswered, until a further one comes. Cause: asio's non_blocking_accept takes both for an empty queue unless enable_connection_aborted is set, and epoll's edge is spent. Ruled out: ENFILE and the like, which asio reports and the 50 ms retry already took up.

The listener of clients and that of operators were written twice; both are net/listener now, which sets the option, goes on at once after what is one connection's failure and after a rest where the machine is short. Accepting.* fails without this (no answer in 60 s).

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -1,9 +1,5 @@
 #include "net/client_server.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <cstdio>
 #include <optional>
 #include <vector>
@@ -27,7 +23,6 @@
 constexpr auto kFirst = std::chrono::milliseconds(2500);
 constexpr size_t kMostLingerBytes = kMostStreamed;
 constexpr size_t kMakeRoom = 8;  // at the limit, one idle connection of so many makes room
-constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
 
 const char* Reason(int status) {
   switch (status) {
@@ -466,8 +461,7 @@
 ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
                            OnClosed on_closed)
     : io_(io),
-      acceptor_(io),
-      retry_(io),
+      listener_(io),
       most_(most_connections),
       on_request_(std::move(on_request)),
       on_closed_(std::move(on_closed)) {}
@@ -476,38 +470,6 @@
   for (auto& [id, connection] : connections_) connection->Detach();
 }
 
-void ClientServer::Listen(const tcp::endpoint& address) {
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));  // started again under the same address
-  acceptor_.bind(address);
-  acceptor_.listen(1024);
-  local_ = acceptor_.local_endpoint();
-}
-
-bool ClientServer::Adopt(int descriptor) {
-  sockaddr_storage at{};
-  socklen_t size = sizeof(at);
-  int listens = 0;
-  socklen_t listens_size = sizeof(listens);
-  if (getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_size) != 0 || listens == 0)
-    return false;
-  if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&at), &size) != 0) return false;
-  error_code error;
-  acceptor_.assign(at.ss_family == AF_INET6 ? tcp::v6() : tcp::v4(), descriptor, error);
-  if (!error) local_ = acceptor_.local_endpoint(error);
-  return !error;
-}
-
-// Released and not closed by the acceptor: where another process holds the same socket, closing it here would
-// leave it in this process's epoll set, which it must leave first.
-void ClientServer::StopAccepting() {
-  if (!acceptor_.is_open()) return;
-  retry_.cancel();
-  error_code error;
-  int descriptor = acceptor_.release(error);
-  if (!error) close(descriptor);
-}
-
 void ClientServer::SetMost(size_t connections) {
   most_ = connections;
   if (!paused_ || connections_.size() >= most_) return;
@@ -516,33 +478,24 @@
 }
 
 void ClientServer::Accept() {
-  if (!acceptor_.is_open()) return;
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (error) {
-      // Out of descriptors or of memory: what waits is taken when there is room. Guards against a spinning
-      // loop.
-      retry_.expires_after(kAcceptRetry);
-      retry_.async_wait([this](error_code cancelled) {
-        if (!cancelled) Accept();
-      });
-      return;
-    }
+  listener_.Accept([this](tcp::socket socket) {
     Taken(std::move(socket));
-    if (connections_.size() >= most_) {
-      // Those that have been idle longest make room, which comes when their clients have closed as well, or have
-      // had their time to. A part at once, as some never will; but while room is on its way, no more.
-      std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
-      size_t wanted = lingering_ > 0 ? 0 : 1 + most_ / kMakeRoom;
-      for (size_t i = 0; i < oldest.size() && wanted > 0; ++i) {
-        if (oldest[i] != last_ && connections_.at(oldest[i])->CloseIfIdle(kYield)) --wanted;
-      }
-    }
+    if (connections_.size() >= most_) MakeRoom();
     paused_ = connections_.size() >= most_;
     if (!paused_) Accept();
   });
 }
 
+// Those that have been idle longest make room, which comes when their clients have closed as well, or have had their
+// time to. A part at once, as some never will; but while room is on its way, no more.
+void ClientServer::MakeRoom() {
+  std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
+  size_t wanted = lingering_ > 0 ? 0 : 1 + most_ / kMakeRoom;
+  for (size_t i = 0; i < oldest.size() && wanted > 0; ++i) {
+    if (oldest[i] != last_ && connections_.at(oldest[i])->CloseIfIdle(kYield)) --wanted;
+  }
+}
+
 void ClientServer::Taken(tcp::socket socket) {
   Prepare(socket);
   uint64_t id = ++last_;
@@ -577,12 +530,6 @@
   return std::min(kMaxBody, budget_ / std::max<size_t>(1, connections_.size()));
 }
 
-bool ClientServer::Quiet() {
-  if (!acceptor_.is_open()) return connections_.empty();
-  pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
-  return connections_.empty() && poll(&waiting, 1, 0) == 0;
-}
-
 void ClientServer::CloseIdle() {
   std::vector<uint64_t> ids(idle_.begin(), idle_.end());
   for (uint64_t id : ids) {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "net/backend_pool.h"
+#include "net/listener.h"
 
 namespace lemonchute::net {
 
@@ -40,16 +41,16 @@
   ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnClosed on_closed);
   ~ClientServer();
 
-  void Listen(const tcp::endpoint& address);  // throws boost::system::system_error
+  void Listen(const tcp::endpoint& address) { listener_.Listen(address, kBacklog); }  // throws system_error
   // Takes over a socket that listens already and that other processes hold as well. False if it does not.
-  bool Adopt(int descriptor);
+  bool Adopt(int descriptor) { return listener_.Adopt(descriptor); }
   void Accept();  // begins to take connections
   // Takes none from now on. What waits in an adopted socket's queue is left to the others.
-  void StopAccepting();
+  void StopAccepting() { listener_.Release(); }
   void SetMost(size_t connections);
   // Bytes of request bodies that all connections together may hold.
   void SetBudget(size_t bytes) { budget_ = bytes; }
-  tcp::endpoint local() const { return local_; }
+  tcp::endpoint local() const { return listener_.local(); }
   // A request's final answer. Where a stream has begun it ends that: whole with status 200, else cut.
   void Reply(uint64_t connection, Answer answer);
   // The next piece of an upload, now or when it comes; never where the connection ends before.
@@ -60,19 +61,20 @@
 
   void AskToClose(bool ask) { asking_to_close_ = ask; }  // from now on each answer ends its connection
   void CloseIdle();                                      // those on which nothing has begun
-  bool Quiet();  // no connection is open, and none waits to be accepted
+  // No connection is open, and none waits to be accepted.
+  bool Quiet() { return connections_.empty() && !listener_.Waiting(); }
 
  private:
   class Connection;
+  static constexpr int kBacklog = 1024;
 
+  void MakeRoom();
   std::shared_ptr<Connection> Find(uint64_t id) const;
   size_t MostHeld() const;  // a connection's part of the budget
   void Taken(tcp::socket socket);
 
   asio::io_context& io_;
-  tcp::acceptor acceptor_;
-  tcp::endpoint local_;
-  asio::steady_timer retry_;
+  Listener listener_;
   size_t most_, budget_ = 0;
   OnRequest on_request_;
   OnClosed on_closed_;
--- a/src/net/ops_server.cpp
+++ b/src/net/ops_server.cpp
@@ -7,7 +7,7 @@
 constexpr size_t kMostAfter = 2 * OpsServer::kMostBody;    // that a caller may send on after its answer
 constexpr auto kWhole = std::chrono::milliseconds(3000);   // for a call to become whole and be answered
 constexpr auto kLinger = std::chrono::milliseconds(1000);  // for the caller to read its answer
-constexpr auto kAcceptRetry = std::chrono::milliseconds(50);
+constexpr int kBacklog = 128;
 
 }  // namespace
 
@@ -111,11 +111,8 @@
 };
 
 OpsServer::OpsServer(asio::io_context& io, const tcp::endpoint& address, OnCall on_call)
-    : io_(io), acceptor_(io), retry_(io), on_call_(std::move(on_call)) {
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address);
-  acceptor_.listen(128);
+    : io_(io), listener_(io), on_call_(std::move(on_call)) {
+  listener_.Listen(address, kBacklog);
   Accept();
 }
 
@@ -124,15 +121,7 @@
 }
 
 void OpsServer::Accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    if (error) {  // out of descriptors; guards against a spinning loop
-      retry_.expires_after(kAcceptRetry);
-      retry_.async_wait([this](error_code cancelled) {
-        if (!cancelled) Accept();
-      });
-      return;
-    }
+  listener_.Accept([this](tcp::socket socket) {
     // A whole call is answered as it is read, so the longest open one is a caller that holds its connection.
     if (connections_.size() >= kMostConnections) std::shared_ptr<Connection>(connections_.front())->Close();
     connections_.push_back(std::make_shared<Connection>(this, std::move(socket)));
--- a/src/net/ops_server.h
+++ b/src/net/ops_server.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "net/http.h"
+#include "net/listener.h"
 
 namespace lemonchute::net {
 
@@ -33,7 +34,7 @@
             OnCall on_call);  // throws where it can't listen
   ~OpsServer();
 
-  tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+  tcp::endpoint local() const { return listener_.local(); }
 
  private:
   class Connection;
@@ -41,8 +42,7 @@
   void Accept();
 
   asio::io_context& io_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer retry_;
+  Listener listener_;
   OnCall on_call_;
   std::list<std::shared_ptr<Connection>> connections_;  // longest open first
 };
