A listener that can't be had at once is tried again for 10 s

Seen with the shim: one failing socket, bind or listen at the start ends the process with status 1 (open: Too many open files in system). Cause: Listen threw on the first failure, also with EADDRINUSE while the process before still ends. It is tried again every 50 ms for 10 s where the failure may pass; others still throw at once.

A further test, listed as known red: SIGHUP while the process reads its configuration ends it by the default action.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -6,6 +6,8 @@
 
 #include <cerrno>
 #include <chrono>
+#include <cstdio>
+#include <thread>
 
 namespace lemonchute::net {
 namespace {
@@ -41,15 +43,56 @@
   acceptor.set_option(asio::socket_base::enable_connection_aborted(true));
 }
 
+// At a start: how long, and how often, a listener is tried for. A new process is to be ready within 10 s in
+// nine of ten cases and within 30 s in any; the process before it may still hold the address for some
+// seconds.
+constexpr auto kListenFor = std::chrono::seconds(10);
+constexpr auto kListenEvery = std::chrono::milliseconds(50);
+
+// What may be over in a moment: a shortage of the machine's, or an address that another process is about to
+// leave.
+bool MayPass(int error) {
+  switch (error) {
+    case ENFILE:
+    case EMFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRINUSE:
+    case EADDRNOTAVAIL:
+    case ENETUNREACH:
+    case ENETDOWN:
+    case EINTR:
+    case EAGAIN: return true;
+    default: return false;
+  }
+}
+
+void TryListen(tcp::acceptor& acceptor, const tcp::endpoint& address, int backlog) {
+  acceptor.open(address.protocol());
+  ReportAborted(acceptor);
+  acceptor.set_option(tcp::acceptor::reuse_address(true));  // started again under the same address
+  acceptor.bind(address);
+  acceptor.listen(backlog);
+}
+
 }  // namespace
 
 void Listener::Listen(const tcp::endpoint& address, int backlog) {
-  acceptor_.open(address.protocol());
-  ReportAborted(acceptor_);
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));  // started again under the same address
-  acceptor_.bind(address);
-  acceptor_.listen(backlog);
-  local_ = acceptor_.local_endpoint();
+  auto give_up = std::chrono::steady_clock::now() + kListenFor;
+  for (bool told = false;;) {
+    try {
+      TryListen(acceptor_, address, backlog);
+      local_ = acceptor_.local_endpoint();
+      return;
+    } catch (const boost::system::system_error& failed) {
+      error_code ignored;
+      acceptor_.close(ignored);
+      if (!MayPass(failed.code().value()) || std::chrono::steady_clock::now() >= give_up) throw;
+      if (!told) std::fprintf(stderr, "cannot listen yet: %s\n", failed.what());
+      told = true;
+    }
+    std::this_thread::sleep_for(kListenEvery);
+  }
 }
 
 bool Listener::Adopt(int descriptor) {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -16,7 +16,8 @@
 
   explicit Listener(asio::io_context& io) : acceptor_(io), retry_(io) {}
 
-  void Listen(const tcp::endpoint& address, int backlog);  // throws boost::system::system_error
+  // Waits for some seconds where the address or a socket can't be had at once; then throws system_error.
+  void Listen(const tcp::endpoint& address, int backlog);
   // Takes over a socket that listens already and that other processes hold as well. False if it does not.
   bool Adopt(int descriptor);
   // Leaves the socket, with what waits in its queue, to the other processes that hold it.
--- a/tests/system_fault_test.cpp
+++ b/tests/system_fault_test.cpp
@@ -56,4 +56,13 @@
   }
 }
 
+// A signal that comes while the process starts, here as it reads its configuration, counts once it runs.
+TEST(Starting, ASignalDuringTheStartIsKeptUntilTheProcessRuns) {
+  Backend backend(Says(Ok("x")));
+  Site site(One(backend), {}, LEMONCHUTE_GATEWAY, 0, With("open-read.raise-hup=#1", kOps));
+  ASSERT_NE(site.gateway->port, 0);
+  AwaitFigure(site.gateway->ops_port, "config_applied", 1);
+  EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
+}
+
 }  // namespace
