Signals have their handlers before the configuration is read

Cause: the handlers of SIGHUP and SIGTERM were set after the gateway was built. A reload that crosses a restart, as when a release moves discovery with SIGHUP while gateways are restarted, met the default action and ended the process: exit by signal 1 in the test, which raises SIGHUP as the file is opened. Signals now queue from before the file is read, so a SIGHUP that follows a replaced file is taken once the loop runs. Ruled out: SIGTERM lost after the loop has begun.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -52,19 +52,21 @@
     const char* path = std::getenv("LB_CONFIG");
     if (path == nullptr) throw lemonchute::policy::WireError("LB_CONFIG does not name the configuration");
     boost::asio::io_context io(1);
+    // Before the configuration is read: a signal that comes during the start waits until the loop runs, and
+    // none finds the system's default, which ends the process.
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+    boost::asio::signal_set reload(io, SIGHUP);
     const char* folder = std::getenv("TMPDIR");
     lemonchute::net::ConfigKeeper keeper(io, path, folder == nullptr ? "" : folder);
     lemonchute::net::Config config = lemonchute::net::ParseConfig(keeper.Begin());
     lemonchute::net::AddEnvironment(&config);
     lemonchute::net::Gateway gateway(io, config, &keeper);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code error, int) {
       if (error) return;
       std::fprintf(stderr, "closing\n");
       gateway.Shutdown();
     });
     // The platform replaces the configuration and signals: what it names anew is gone to, the rest goes on.
-    boost::asio::signal_set reload(io, SIGHUP);
     std::function<void()> await_reload = [&] {
       reload.async_wait([&](boost::system::error_code error, int) {
         if (error) return;
