Two tests that fail: a retry for a client that has gone, a gateway that shuts all out

The first stops the process while a backend turns a request away and its client closes: as found the second backend gets the request although its client closed 0.12 s before. The second lets answers be slow and then asks for 4 s: as found hardly anything is let in.

--- a/tests/balance_test.cpp
+++ b/tests/balance_test.cpp
@@ -1330,6 +1330,34 @@
   EXPECT_LT(let_in[1], 130);
 }
 
+// A gateway that lets nothing in hears no answers, so what lowers the share can't be what raises it again: with slow
+// answers before, hardly any class is shut out for seconds on end.
+TEST(Many, AGatewayThatHearsNothingLetsTriesInAgain) {
+  Settings s = Site();
+  s.may_count = false;
+  s.classes[0].worth = 0.01;  // beside the others next to nothing
+  int shut_out = 0;
+  for (uint64_t gateway = 0; gateway < 20; ++gateway) {
+    Bench t(s, 100, 100 + static_cast<double>(gateway));
+    uint64_t customer = 1000 * (gateway + 1);
+    for (int i = 0; i < 60; ++i) {
+      uint32_t id = t.Ask(1, 1, 1.4, ++customer);
+      const Action* send = t.Got(ActionKind::kSend);
+      uint32_t at = send != nullptr ? send->backend : 0;
+      t.now += 1.2;
+      if (at != 0) t.End(id, at, Result::kOk);
+    }
+    bool any = false;
+    for (int i = 0; i < 100; ++i) {  // 4 s
+      t.Ask(1, 0, 1.4, ++customer);
+      any |= t.Sent();
+      t.now += 0.04;
+    }
+    shut_out += any ? 0 : 1;
+  }
+  EXPECT_LE(shut_out, 2);
+}
+
 TEST(Input, NoSenseFromTheCounterOrTheListHarmsNothing) {
   Settings s = Many();
   s.gateways = 3;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -363,6 +363,43 @@
   EXPECT_EQ(backend.Sent(), "");
 }
 
+// A backend turns a request away and its client leaves, both while the process stands still: it then finds the answer
+// first, and must not send the request on to the next backend for a client that has gone.
+TEST(Attempt, NoneIsRepeatedForAClientWhoseEndIsStillWithTheSystem) {
+  std::unique_ptr<Wire> client;
+  Process* gateway = nullptr;
+  Event done;
+  std::atomic<int> requests{-1};  // counted from when both backends have a connection that is kept
+  auto turns_away = [&](const Message&, Wire& wire) {
+    if (requests < 0) return Ok("x");
+    if (requests++ > 0) return std::string();
+    gateway->Signal(SIGSTOP);
+    wire.Write("HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(wire.Delivered());
+    client->Close();
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));  // over what a rule allows
+    gateway->Signal(SIGCONT);
+    done.Add();
+    wire.Ended();
+    return std::string();
+  };
+  Backend one(turns_away), two(turns_away);
+  Site site(json::array({Entry("s1", one.port()), Entry("s2", two.port())}), {}, LEMONCHUTE_GATEWAY, 0, kOps);
+  gateway = site.gateway.get();
+  client = gateway->Connect();
+  while (one.requests.count() == 0 || two.requests.count() == 0) {
+    ASSERT_EQ(Ask(*client, Fresh("quote")).status(), 200);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));  // for both to have rested
+  requests = 0;
+  client->Write(Fresh("quote"));
+  ASSERT_TRUE(done.Wait());
+  AwaitFigure(gateway->ops_port, "active", 0);
+  EXPECT_EQ(requests, 1);
+  EXPECT_EQ(Figure(gateway->ops_port, "held_back.client_gone"), 1);
+  EXPECT_EQ(Figure(gateway->ops_port, "closed.client_ended"), 1);
+}
+
 // What an attempt tells its backend is what is left to the client when it is written, also where its connection
 // has come up late, and with a long request no more than the client's own time.
 TEST(Attempt, OneOnALateConnectionTellsTheTimeThatIsLeft) {
