One guard for attempts, asked again before the first byte, and invariants that are counted

Cause of the retry for a client that has gone: nothing looked at the client's connection between the decision and the write, so what the system already had was seen one event too late. Ruled out: the module, which drops a request that it is told to be abandoned.

net/send_guard says whether an attempt may go out, first or repeated; it is asked when an attempt is decided and before its first byte. net/invariants checks closes, answers, times, repeats and the start at run time; violations, and why attempts ended or were held back, requests were refused and connections closed, are at the operators' door. LEMONCHUTE_TRACE logs each state of a request by its id. Timers of client connections and of draining can't fire after they were cancelled any more.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -410,7 +410,9 @@
       if (node != nullptr) {
         Admit(&it->second, c, verdict, node, true, now, out);
       } else if (live) {
-        Refuse(w.request, verdict == Verdict::kOver ? StayAway(*c, it->second.r) : 0, out);
+        bool over = verdict == Verdict::kOver;
+        Refuse(w.request, over ? StayAway(*c, it->second.r) : 0, over ? over_ : RefuseReason::kNoBackend,
+               out);
         lives_.erase(it);
       }
     }
@@ -470,7 +472,9 @@
     Refill(c, now);
     Lend(c, r.units, now);
     *chance = 0;
+    over_ = RefuseReason::kCeiling;
     if (p.ceiling_rate > 0 && c->ceiling < r.units) return Verdict::kOver;
+    over_ = p.rate <= 0 ? RefuseReason::kCap : RefuseReason::kQuota;
     if (p.rate <= 0 && p.parallel <= 0) {  // no quota
       *chance = 1;
       return Verdict::kInside;
@@ -614,9 +618,9 @@
                  r.plan < static_cast<int>(s_.plans.size()) && std::isfinite(r.units) && r.units > 0 &&
                  std::isfinite(r.left_s) && r.left_s > 2 * s_.resolution_s && std::isfinite(r.entries);
     if (lives_.count(r.id) != 0) return;
-    if (!sound) return Refuse(r.id, 0, out);
+    if (!sound) return Refuse(r.id, 0, RefuseReason::kUnsound, out);
     Customer& c = Find(r, now);
-    if (c.plan != r.plan && !MovePlan(&c, r.plan, now)) return Refuse(r.id, 0, out);
+    if (c.plan != r.plan && !MovePlan(&c, r.plan, now)) return Refuse(r.id, 0, RefuseReason::kUnsound, out);
     double chance;
     Verdict verdict = Judge(&c, r, now, &chance);
     Live live;
@@ -627,7 +631,7 @@
     live.cancel = s_.cancel;
     longest_left_[r.cls] = std::max(longest_left_[r.cls], r.left_s);
     if (WorthAsking(c, r, chance, now)) {
-      if (Crowded(r, false)) return Refuse(r.id, 0, out);
+      if (Crowded(r, false)) return Refuse(r.id, 0, RefuseReason::kCrowded, out);
       if (chance >= 0.5) Charge(&c, r.units, 1);
       Arm(lives_[r.id] = std::move(live), now, out);
       c.waiting.push_back({r.id, r.units, chance >= 0.5});
@@ -641,11 +645,12 @@
       if (!c.calling && !c.out_calling) Settle(r.customer, &c, false, now, out);
       return;
     }
-    if (verdict == Verdict::kOver) return Refuse(r.id, StayAway(c, r), out);
-    Node* node = Crowded(r, verdict != Verdict::kInside) ? nullptr : Pick(live, now);
+    if (verdict == Verdict::kOver) return Refuse(r.id, StayAway(c, r), over_, out);
+    bool crowded = Crowded(r, verdict != Verdict::kInside);
+    Node* node = crowded ? nullptr : Pick(live, now);
     if (node == nullptr) {
       if (verdict == Verdict::kInside) MarkPressed(now);
-      return Refuse(r.id, 0, out);
+      return Refuse(r.id, 0, crowded ? RefuseReason::kCrowded : RefuseReason::kNoBackend, out);
     }
     Live& kept = lives_[r.id] = std::move(live);
     Admit(&kept, &c, verdict, node, false, now, out);
@@ -872,7 +877,8 @@
     const ClassSettings& c = s_.classes[l->r.cls];
     bool untouched = c.effect == Effect::kFree || (!l->may_have_run && l->out == 0);
     bool may_refuse = untouched || (c.effect == Effect::kGuarded && c.scope == Scope::kAll);
-    Emit(out, may_refuse ? ActionKind::kRefuse : ActionKind::kFail, l->r.id);
+    Emit(out, may_refuse ? ActionKind::kRefuse : ActionKind::kFail, l->r.id).reason =
+        RefuseReason::kFailedAttempts;
     End(l, out);
   }
 
@@ -1065,8 +1071,9 @@
     out->back().request = request;
     return out->back();
   }
-  void Refuse(uint32_t id, double stay_away, Actions* out) {
+  void Refuse(uint32_t id, double stay_away, RefuseReason reason, Actions* out) {
     Emit(out, ActionKind::kRefuse, id).seconds = s_.retry_after ? stay_away : 0;
+    out->back().reason = reason;
   }
   void Timer(Actions* out, double wait, uint64_t tag) {
     Action& a = Emit(out, ActionKind::kTimer);
@@ -1096,7 +1103,8 @@
   int warm_ = 0;                        // backends warm and ready
   double warm_work_ = 0, warm_at_ = 0;  // s of work served by a warm backend, fading
   double retry_store_ = kRetryStore;
-  double let_in_ = 1, steered_at_ = 0;  // share of requests let in, by the answers of all backends
+  RefuseReason over_ = RefuseReason::kQuota;  // why the try judged last is over what its customer may have
+  double let_in_ = 1, steered_at_ = 0;        // share of requests let in, by the answers of all backends
 };
 
 Balancer::Balancer(const Settings& settings, uint64_t seed, double now, Actions* out)
--- a/src/balance.h
+++ b/src/balance.h
@@ -108,16 +108,29 @@
   Result result = Result::kOk;
 };
 
+enum class RefuseReason {
+  kUnsound,         // its terms make no sense, or its time is over
+  kQuota,           // beyond its customer's rate quota, as far as that is known here
+  kCeiling,         // beyond this gateway's part of a ceiling
+  kCap,             // as many attempts out as its customer may have
+  kCrowded,         // the room is kept for what is worth more
+  kNoBackend,       // no backend may take it now
+  kFailedAttempts,  // its attempts have failed and none is left
+  kCount,
+};
+
 enum class ActionKind { kSend, kCancel, kRefuse, kFail, kTimer, kCount, kLog, kSubscribe };
 struct Action {
   ActionKind kind = ActionKind::kLog;
   uint32_t request = 0;
   uint32_t backend = 0;
   int attempt = 0;
-  uint64_t tag = 0;    // timer's tag, or the name of a count
-  double seconds = 0;  // patience, wait, stay-away or expiry
-  double amount = 0;   // added to the count
-  double begin_s = 0;  // of a send: how late it may begin, since a repeat must come within its window; 0: any time
+  uint64_t tag = 0;                              // timer's tag, or the name of a count
+  double seconds = 0;                            // patience, wait, stay-away or expiry
+  double amount = 0;                             // added to the count
+  RefuseReason reason = RefuseReason::kUnsound;  // of a refusal or a failure
+  double begin_s =
+      0;  // of a send: how late it may begin, since a repeat must come within its window; 0: any time
   std::string text;
 };
 using Actions = std::vector<Action>;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -13,11 +13,16 @@
 // Kept connections are closed this share of the backend's own idle limit after their last answer. Guards
 // against a request written just as the backend closes, which would end as a reset.
 constexpr double kIdleShare = 0.7;
+// By the protocol and the standing test: a process may be held up between its clock and a write, every time
+// limit of the rules is a little longer, and the time that an attempt tells may be over what is left.
+constexpr auto kHeldUp = std::chrono::milliseconds(150);
+constexpr auto kRuleSlack = std::chrono::milliseconds(50);
+constexpr double kToldSlackS = 0.15;
 // Off the drain's grace: the time a write may take to come out on a busy core.
 constexpr double kGraceMarginS = 0.1;
-// Before a connection is used again. A backend may send a second answer some milliseconds after the first: one
-// that comes upon a further request would be taken for that one's. Over twice the latest that was seen; a longer
-// rest costs more new connections.
+// Before a connection is used again. A backend may send a second answer some milliseconds after the first:
+// one that comes upon a further request would be taken for that one's. Over twice the latest that was seen; a
+// longer rest costs more new connections.
 constexpr auto kRest = std::chrono::milliseconds(10);
 constexpr auto kStall = std::chrono::seconds(10);  // without a byte of an answer that has begun: it broke off
 // After its request's time, until a small answer that has begun and does not end is cut: half of what the
@@ -48,13 +53,15 @@
   bool rested(Clock::time_point now) const { return now >= rested_; }
   bool Usable() { return open_ && !busy_ && !Stale(socket_); }
 
-  void Begin(uint64_t attempt, AttemptMessage message, AttemptLimits limits, Done done, AttemptStream stream) {
+  void Begin(uint64_t attempt, AttemptMessage message, AttemptLimits limits, Done done,
+             AttemptStream stream) {
     busy_ = true;
     written_ = false;
     attempt_ = attempt;
     message_ = std::move(message.text);
     timeout_at_ = message.timeout_at;
     most_timeout_s_ = message.most_timeout_s;
+    permit_ = std::move(message.permit);
     done_ = std::move(done);
     stream_ = std::move(stream);
     streaming_ = held_up_ = uploading_ = false;
@@ -126,8 +133,8 @@
     });
   }
 
-  // Whether a stream must end within its request's time. Past kMaxBody the first bytes have been in time, and the
-  // rest must only come on.
+  // Whether a stream must end within its request's time. Past kMaxBody the first bytes have been in time, and
+  // the rest must only come on.
   bool Timed() const { return parser_->content_length().value_or(0) <= kMaxBody && passed_on_ <= kMaxBody; }
   void WaitStreaming(Clock::time_point when) { WaitUntil(Timed() ? std::min(when, give_up_ + kLate) : when); }
 
@@ -139,23 +146,52 @@
     WaitUntil(std::min(begin_by_, began_ + pool_->connect_timeout_));
     socket_.async_connect(address_, [self = shared_from_this(), this](error_code failed) {
       if (closed_ || !busy_) return;
-      // Guards against a late connect: patience over, the window for a repeat or the grace of a drain past.
-      // Nothing is sent then.
-      bool late = Clock::now() >= begin_by_ || !pool_->MaySend(backend_);
-      if (failed || late) return Finish(Result::kConnectFailed);
+      if (failed) return Finish(Result::kConnectFailed);
       open_ = true;
       Opened();
     });
   }
 
+  // Ends the attempt with nothing sent, once the caller has returned. A connection that is sound may serve
+  // the next.
+  void HoldBack(Result result) {
+    if (!reading_) Read();
+    asio::post(pool_->io_, [self = shared_from_this(), this, mine = attempt_, result] {
+      if (!busy_ || attempt_ != mine) return;
+      AttemptEnd end;
+      end.result = result;
+      Finish(std::move(end), !closed_);
+    });
+  }
+
   void Opened() {
+    // Guards against a late connect and a process that was held up: patience over, the window for a repeat or
+    // the grace of a drain past, the client gone. Nothing is sent then.
+    if (Clock::now() >= begin_by_ || !pool_->MaySend(backend_)) return HoldBack(Result::kConnectFailed);
+    if (permit_ && !permit_()) return HoldBack(Result::kNeverSent);
     wrote_at_ = Clock::now();
+    double told_s = most_timeout_s_;
     if (timeout_at_ != std::string::npos) {
-      double left = std::min(std::chrono::duration<double>(give_up_ - wrote_at_).count(), most_timeout_s_);
-      message_.insert(timeout_at_, std::to_string(std::max(1L, static_cast<long>(left * 1000))));
+      told_s = std::min(std::chrono::duration<double>(give_up_ - wrote_at_).count(), most_timeout_s_);
+      message_.insert(timeout_at_, std::to_string(std::max(1L, static_cast<long>(told_s * 1000))));
     }
     WaitUntil(by_pieces_ ? std::min(give_up_, wrote_at_ + kStall) : give_up_);
     Write();
+    CheckBegun(told_s);
+  }
+
+  // The rules once more, by the clock as it stands after the first bytes have gone out.
+  void CheckBegun(double told_s) {
+    auto now = Clock::now();
+    Invariants& invariants = pool_->counters_->invariants;
+    auto ids = [this] {
+      return "attempt=" + std::to_string(attempt_) + " backend=" + std::to_string(backend_);
+    };
+    bool in_time = now < begin_by_ + kHeldUp + kRuleSlack && pool_->MayStillArrive(backend_, now);
+    if (!in_time) invariants.Check(Invariant::kSentInTime, false, ids());
+    double left_s = std::chrono::duration<double>(give_up_ - now).count();
+    if (!by_pieces_ && told_s > std::max(0.001, left_s) + kToldSlackS)
+      invariants.Check(Invariant::kTimeTold, false, ids() + " told_s=" + std::to_string(told_s));
   }
 
   void Write() {
@@ -360,6 +396,7 @@
   std::string message_;
   size_t timeout_at_ = std::string::npos;
   double most_timeout_s_ = 0;
+  std::function<bool()> permit_;
   std::string body_;  // of the answer, as far as it is not passed on
   AttemptStream stream_;
   Done done_;
@@ -421,6 +458,12 @@
   return b != nullptr && offline_.count(id) == 0 && !(b->draining && Clock::now() >= b->no_send_after);
 }
 
+bool BackendPool::MayStillArrive(uint32_t id, Clock::time_point now) {
+  const Backend* b = Find(id);
+  if (b == nullptr || offline_.count(id) != 0) return false;
+  return !b->draining || now < b->no_send_after + Seconds(kGraceMarginS) + kRuleSlack;
+}
+
 void BackendPool::SetOffline(uint32_t backend, bool offline) {
   if (!offline) return void(offline_.erase(backend));
   offline_.insert(backend);
@@ -456,9 +499,8 @@
   std::shared_ptr<Connection> connection;
   while (may && connection == nullptr) {
     // In the order of their last answers, so those that have rested come first.
-    auto at = std::partition_point(b->kept.begin(), b->kept.end(), [now = Clock::now()](const auto& kept) {
-      return kept->rested(now);
-    });
+    auto at = std::partition_point(b->kept.begin(), b->kept.end(),
+                                   [now = Clock::now()](const auto& kept) { return kept->rested(now); });
     if (at == b->kept.begin()) break;
     std::shared_ptr<Connection> kept = std::move(*--at);
     b->kept.erase(at);
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -52,6 +52,8 @@
   // Where in it the time is told that the attempt has, once it is written: a connection may come up late.
   size_t timeout_at = std::string::npos;
   double most_timeout_s = 0;  // the client's own
+  // Asked immediately before the first byte: false, and the attempt ends as never sent.
+  std::function<bool()> permit = {};
 };
 
 // How long an attempt may take, and how late it may begin to be written; seconds from now.
@@ -100,6 +102,9 @@
   // An attempt's part of the budget.
   size_t MostHeld() const { return std::min(kMaxBody, budget_ / std::max<size_t>(1, out_.size())); }
   bool MaySend(uint32_t id);
+  // The same with the margins that MaySend leaves for a process that is held up: what the protocol itself
+  // allows.
+  bool MayStillArrive(uint32_t id, Clock::time_point now);
   void CloseKept(Backend* backend);
   bool MakeRoom();
 
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -1,19 +1,24 @@
 #include "net/client_server.h"
 
+#include <poll.h>
+
 #include <cstdio>
 #include <optional>
 #include <vector>
 
+#include "net/one_shot_timer.h"
+
 namespace lemonchute::net {
 namespace {
 
 // What is kept at most of what a client sends ahead of its answer: one whole further request, and less where
-// memory is short. What comes past it is read all the same, or the client's end behind it would not be seen; it is
-// dropped, and the answer ends the connection.
+// memory is short. What comes past it is read all the same, or the client's end behind it would not be seen;
+// it is dropped, and the answer ends the connection.
 constexpr size_t kMostAhead = kMaxHeader + kMaxBody;
 constexpr auto kLinger = std::chrono::milliseconds(1000);  // for a client to read its last answer
-constexpr auto kYield = std::chrono::milliseconds(100);  // for one that rests, to see the end where room is short
-constexpr auto kPartial = std::chrono::seconds(10);      // for an answer, or a piece of one, to be read
+constexpr auto kYield =
+    std::chrono::milliseconds(100);                  // for one that rests, to see the end where room is short
+constexpr auto kPartial = std::chrono::seconds(10);  // for an answer, or a piece of one, to be read
 constexpr auto kHead = std::chrono::milliseconds(4000);  // for the head of a further request
 // For a small body to become whole, and for a large one to bring kLeastBrought more.
 constexpr auto kBody = std::chrono::milliseconds(2500);
@@ -51,7 +56,7 @@
 
   void Start() {
     Next();
-    LimitReading(kFirst);
+    LimitReading(kFirst, CloseReason::kNeverAsked);
     Read();
   }
 
@@ -95,41 +100,50 @@
     Pump();
   }
 
-  // Between requests only. Bytes that have come meanwhile are a request that is to be served. What comes after
-  // the half-close is not: its client sees the end and no answer, and asks anew elsewhere. A close at once would
-  // reset the connection over it, and take a last answer that was not read yet along.
+  // Between requests only. Bytes that have come meanwhile are a request that is to be served. What comes
+  // after the half-close is not: its client sees the end and no answer, and asks anew elsewhere. A close at
+  // once would reset the connection over it, and take a last answer that was not read yet along.
   bool CloseIfIdle(std::chrono::milliseconds linger) {
     if (!idle()) return false;
     error_code error;
     if (PeekByte(socket_, error) > 0) return false;
     NotIdle();
-    Linger(linger);
+    Linger(linger, CloseReason::kDrained);
     return true;
   }
 
-  void Close() {
+  // The client's end may be with the system before it is read here, also behind bytes that are not.
+  bool ClientPresent() {
+    error_code error;
+    if (PeekByte(socket_, error) == 0) return error == asio::error::would_block;
+    pollfd end{socket_.native_handle(), POLLRDHUP, 0};
+    return poll(&end, 1, 0) <= 0 || (end.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
+  }
+
+  void Close(CloseReason reason) {
     if (state_ == State::kClosed) return;
     auto self = shared_from_this();
     bool held = state_ == State::kHeld || state_ == State::kStreaming;
     if (state_ == State::kLingering) --server_->lingering_;
     state_ = State::kClosed;
     NotIdle();
-    timer_.cancel();
+    timer_.Cancel();
     taken_ = nullptr;
     pull_ = nullptr;
     CloseNow(socket_);
     ClientServer* server = server_;
     server->connections_.erase(id_);
-    server->on_closed_(id_, held);
+    server->on_closed_(id_, held, reason);
     if (server->paused_ && server->connections_.size() < server->most_) {
       server->paused_ = false;
       server->Accept();
     }
   }
-  // At the end of the process. What was written is still to reach its client, so what it has sent is read first.
+  // At the end of the process. What was written is still to reach its client, so what it has sent is read
+  // first.
   void Detach() {
     state_ = State::kClosed;
-    timer_.cancel();
+    timer_.Cancel();
     taken_ = nullptr;
     pull_ = nullptr;
     error_code error;
@@ -158,9 +172,7 @@
     idle_at_ = server_->idle_.insert(server_->idle_.end(), id_);
   }
 
-  bool Full() const {
-    return buffer_.size() >= (uploading_ ? 2 * kPiece : kMaxHeader + server_->MostHeld());
-  }
+  bool Full() const { return buffer_.size() >= (uploading_ ? 2 * kPiece : kMaxHeader + server_->MostHeld()); }
   // An upload's own bytes wait for who takes them.
   bool MayRead() const { return !Full() || (!uploading_ && dropped_ < kMostLingerBytes); }
 
@@ -181,14 +193,13 @@
       if (error == asio::error::would_block) return Read();
       // An end in the middle of an answer's last bytes, or while nothing is held, only ends the connection;
       // while a request is held the client has gone away.
-      if (error) return Close();
+      if (error) return Close(CloseReason::kClientEnded);
       drop ? Dropped(n) : Came(n);
       Read();
     });
   }
 
   void Dropped(size_t n) {
-    dropping_ = true;
     keep_ = false;
     dropped_ += n;
   }
@@ -198,7 +209,7 @@
     if (state_ == State::kLingering) {
       lingered_ += n;
       buffer_.clear();
-      if (lingered_ > kMostLingerBytes) Close();
+      if (lingered_ > kMostLingerBytes) Close(CloseReason::kAnsweredLast);
     } else if (state_ == State::kReading) {
       Parse();
     } else if (uploading_) {
@@ -227,10 +238,10 @@
         return Taken(Upload{length ? std::optional<uint64_t>(*length) : std::nullopt});
       }
       Continue();
-      if (!in_body_) LimitReading(kBody);
+      if (!in_body_) LimitReading(kBody, CloseReason::kSlowBody);
       in_body_ = true;
     } else if (!timed_) {
-      LimitReading(kHead);
+      LimitReading(kHead, CloseReason::kSlowHead);
     }
   }
 
@@ -272,12 +283,13 @@
 
   // Hands the next piece of an upload to who has asked for it. No more than a piece is held meanwhile.
   void ParseUpload() {
-    if (Decode(kPiece)) return Close();  // its framing broke off after it was passed on in part
+    if (Decode(kPiece))
+      return Close(CloseReason::kBrokenBody);  // its framing broke off after it was passed on in part
     if (!pull_ || (body_.empty() && !parser_->is_done())) return;
     bool last = parser_->is_done();
     if (last) {
       uploading_ = false;
-      timer_.cancel();
+      timer_.Cancel();
     }
     std::string piece = std::exchange(body_, std::string());
     std::exchange(pull_, nullptr)(std::move(piece), last);
@@ -287,24 +299,22 @@
   void LimitUpload() {
     bool asked = pull_ != nullptr;
     brought_ = 0;
-    timer_.expires_after(kBody);
-    timer_.async_wait([self = shared_from_this(), this, asked](error_code cancelled) {
-      if (cancelled || state_ != State::kHeld || !uploading_) return;
-      if (asked && pull_ && brought_ < kLeastBrought) return Close();
+    timer_.Start(kBody, [self = shared_from_this(), this, asked] {
+      if (state_ != State::kHeld || !uploading_) return;
+      if (asked && pull_ && brought_ < kLeastBrought) return Close(CloseReason::kSlowBody);
       LimitUpload();
     });
   }
-  void LimitReading(std::chrono::milliseconds most) {
+  void LimitReading(std::chrono::milliseconds most, CloseReason reason) {
     timed_ = true;
-    timer_.expires_after(most);
-    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled && state_ == State::kReading) Close();
+    timer_.Start(most, [self = shared_from_this(), this, reason] {
+      if (state_ == State::kReading) Close(reason);
     });
   }
   char Front() const { return *static_cast<const char*>(buffer_.data().data()); }
 
   void Taken(std::optional<Upload> upload) {
-    timer_.cancel();
+    timer_.Cancel();
     timed_ = false;
     keep_ = parser_->keep_alive();
     version_ = parser_->get().version();
@@ -318,7 +328,7 @@
 
   // The framing is in doubt: the answer ends the connection.
   void Refuse(error_code error) {
-    if (timed_) timer_.cancel();
+    if (timed_) timer_.Cancel();
     Answer answer;
     answer.status = error == http::error::header_limit ? 431 : error == http::error::body_limit ? 413 : 400;
     Write(std::move(answer), false);
@@ -349,8 +359,8 @@
     message_.append("\r\n").append(answer.body);
     WriteAll(socket_, message_, [self = shared_from_this(), this, keep](error_code error) {
       if (state_ == State::kClosed) return;
-      timer_.cancel();
-      if (error) return asio::post(server_->io_, [self, this] { Close(); });
+      timer_.Cancel();
+      if (error) return asio::post(server_->io_, [self, this] { Close(CloseReason::kClientEnded); });
       Sent(keep);
     });
     LimitWriting();
@@ -359,7 +369,7 @@
   // The last byte of an answer is out.
   void Sent(bool keep) {
     if (message_.capacity() > kMaxHeader) message_ = std::string();
-    if (!keep || dropping_) return Linger();
+    if (!keep || dropped_ > 0) return Linger();
     Next();
     // Bytes that came ahead are the next request. Posted: the caller may be in the middle of its actions.
     if (buffer_.size() > 0) {
@@ -385,8 +395,8 @@
     WriteAll(socket_, message_, [self = shared_from_this(), this](error_code error) {
       pumping_ = false;
       if (state_ == State::kClosed) return;
-      timer_.cancel();
-      if (error) return asio::post(server_->io_, [self, this] { Close(); });
+      timer_.Cancel();
+      if (error) return asio::post(server_->io_, [self, this] { Close(CloseReason::kClientEnded); });
       if (!unsent_.empty()) return Pump();
       if (auto taken = std::exchange(taken_, nullptr)) taken();
       Pump();
@@ -409,36 +419,32 @@
     // Cut short of its length or its last chunk. Where its end is the connection's, only a reset tells.
     error_code ignored;
     if (to_its_end_) socket_.set_option(tcp::socket::linger(true, 0), ignored);
-    asio::post(server_->io_, [self = shared_from_this(), this] { Close(); });
+    asio::post(server_->io_, [self = shared_from_this(), this] { Close(CloseReason::kCutShort); });
   }
 
   // Guards against a client that never reads its answer.
   void LimitWriting() {
     if (state_ != State::kWriting && state_ != State::kStreaming) return;
-    timer_.expires_after(kPartial);
-    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled && (state_ == State::kWriting || state_ == State::kStreaming)) Close();
+    timer_.Start(kPartial, [self = shared_from_this(), this] {
+      if (state_ == State::kWriting || state_ == State::kStreaming) Close(CloseReason::kSlowReader);
     });
   }
 
   // The last answer must reach a client that is still sending: a close with unread bytes would reset it away.
-  void Linger(std::chrono::milliseconds most = kLinger) {
+  void Linger(std::chrono::milliseconds most = kLinger, CloseReason reason = CloseReason::kAnsweredLast) {
     state_ = State::kLingering;
     ++server_->lingering_;
     buffer_.clear();
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    timer_.expires_after(most);
-    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled) Close();
-    });
+    timer_.Start(most, [self = shared_from_this(), this, reason] { Close(reason); });
     Read();
   }
 
   ClientServer* server_;
   const uint64_t id_;
   tcp::socket socket_;
-  asio::steady_timer timer_;  // of a request that is not whole, then of lingering
+  OneShotTimer timer_;  // of a request that is not whole, then of lingering
   boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
   std::optional<http::request_parser<http::buffer_body>> parser_;
   std::string body_;    // of the request, as far as it is not handed on
@@ -453,9 +459,9 @@
   bool chunked_ = false, to_its_end_ = false, ended_ = false, whole_ = false,
        pumping_ = false;  // of a stream
   State state_ = State::kReading;
-  size_t lingered_ = 0, dropped_ = 0;
+  size_t lingered_ = 0;
+  size_t dropped_ = 0;  // bytes sent ahead beyond what is kept: then the next answer is the connection's last
   bool begun_ = false, keep_ = true, reading_ = false, timed_ = false, continued_ = false;
-  bool dropping_ = false;  // more was sent ahead than is kept: the next answer is the connection's last
 };
 
 ClientServer::ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request,
@@ -486,8 +492,8 @@
   });
 }
 
-// Those that have been idle longest make room, which comes when their clients have closed as well, or have had their
-// time to. A part at once, as some never will; but while room is on its way, no more.
+// Those that have been idle longest make room, which comes when their clients have closed as well, or have
+// had their time to. A part at once, as some never will; but while room is on its way, no more.
 void ClientServer::MakeRoom() {
   std::vector<uint64_t> oldest(idle_.begin(), idle_.end());
   size_t wanted = lingering_ > 0 ? 0 : 1 + most_ / kMakeRoom;
@@ -526,6 +532,15 @@
   if (auto kept = Find(connection)) kept->Put(piece, std::move(taken));
 }
 
+bool ClientServer::ClientPresent(uint64_t connection) const {
+  auto kept = Find(connection);
+  return kept != nullptr && kept->ClientPresent();
+}
+
+void ClientServer::ClientLeft(uint64_t connection) {
+  if (auto kept = Find(connection)) kept->Close(CloseReason::kClientEnded);
+}
+
 size_t ClientServer::MostHeld() const {
   return std::min(kMaxBody, budget_ / std::max<size_t>(1, connections_.size()));
 }
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -12,6 +12,7 @@
 
 #include "net/backend_pool.h"
 #include "net/listener.h"
+#include "net/reasons.h"
 
 namespace lemonchute::net {
 
@@ -35,8 +36,8 @@
   // its body has only begun, and the rest is to be pulled.
   using OnRequest = std::function<void(uint64_t connection, ClientMessage, std::optional<Upload>)>;
   using OnPiece = std::function<void(std::string piece, bool last)>;
-  // The connection has ended; `held`: with a request on it that was not answered, so its client has gone.
-  using OnClosed = std::function<void(uint64_t connection, bool held)>;
+  // The connection has ended; `held`: with a request on it that was not answered.
+  using OnClosed = std::function<void(uint64_t connection, bool held, CloseReason reason)>;
 
   ClientServer(asio::io_context& io, size_t most_connections, OnRequest on_request, OnClosed on_closed);
   ~ClientServer();
@@ -58,6 +59,10 @@
   // A large answer: its head now, its body in pieces, each after the one before was `taken`.
   void BeginStream(uint64_t connection, const std::string& headers, std::optional<uint64_t> length);
   void Put(uint64_t connection, const std::string& piece, std::function<void()> taken);
+  // Whether the client's end of the connection has not come yet, be it read or still with the system.
+  bool ClientPresent(uint64_t connection) const;
+  // Ends a connection whose client is not present any more.
+  void ClientLeft(uint64_t connection);
 
   void AskToClose(bool ask) { asking_to_close_ = ask; }  // from now on each answer ends its connection
   void CloseIdle();                                      // those on which nothing has begun
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -9,6 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "net/invariants.h"
+#include "net/reasons.h"
+
 namespace lemonchute::net {
 
 struct Counters {
@@ -19,6 +22,12 @@
   using Classes = std::map<std::string, PerClass>;
   Classes classes;  // by name
   uint64_t tries = 0;
+  CountsBy<lemonchute::policy::Result, lemonchute::policy::Result::kNeverSent> attempts;  // by how they ended
+  CountsBy<lemonchute::policy::Result, lemonchute::policy::Result::kNeverSent> retried;   // by the end before
+  CountsBy<lemonchute::policy::RefuseReason, lemonchute::policy::RefuseReason::kCount> refused;
+  CountsBy<SendVerdict, SendVerdict::kUnsafeRepeat> held_back;  // attempts that did not go out
+  CountsBy<CloseReason, CloseReason::kCount> closed;            // clients' connections
+  Invariants invariants;
 
   // Those that the settings drop keep their counts, but for the longest gone where there are many.
   static constexpr size_t kMostDropped = 64;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -33,6 +33,8 @@
 constexpr double kLongestCountedS = 3, kEndMarginS = 0.6, kLastWordS = 0.1;
 constexpr double kSiblingEveryS = 0.1,
                  kNoticedS = 0.3;     // the other process is looked for; and notices this one
+constexpr double kLateAnswerS = 0.5;  // after its time, until which a final answer is none that is lost
+constexpr double kReadyWithinS = 10;
 constexpr double kCloseEveryS = 0.5;  // drained: connections that have gone idle or come idle are looked for
 
 // A field that may be written in several lines, as one (RFC 9110, 5.2).
@@ -133,7 +135,7 @@
           [this](uint64_t connection, ClientMessage m, const std::optional<Upload>& upload) {
             OnMessage(connection, std::move(m), upload);
           },
-          [this](uint64_t connection, bool held) { OnClosed(connection, held); }),
+          [this](uint64_t connection, bool held, CloseReason reason) { OnClosed(connection, held, reason); }),
       discovery_(
           io, config.discovery, {config_, &config_->site}, &ids_,
           [this](BackendList list) {
@@ -220,6 +222,10 @@
     case ActionKind::kSend: return SendAttempt(action);
     case ActionKind::kCancel: return CancelAttempt(action.request, action.attempt, action.backend);
     case ActionKind::kRefuse: {
+      counters_.refused.Add(action.reason);
+      if (auto it = held_.find(action.request); it != held_.end())
+        log_.Note(it->second.request_id, "refused", "reason=%s stay_away_s=%.3f", Name(action.reason),
+                  action.seconds);
       Answer answer;
       answer.status = action.seconds > 0 ? 429 : 503;
       answer.retry_after_s = action.seconds;
@@ -272,7 +278,12 @@
   held.deadline = Clock::now() + Seconds(call.timeout_s - margin / 2);
   held.config = config_;
   held.cls = config_->site.classes[static_cast<size_t>(call.request.cls)];
-  held.free = config_->settings.classes[static_cast<size_t>(call.request.cls)].effect == Effect::kFree;
+  held.effect = config_->settings.classes[static_cast<size_t>(call.request.cls)].effect;
+  held.free = held.effect == Effect::kFree;
+  held.client_deadline = Clock::now() + Seconds(call.timeout_s);
+  held.request_id = View(message["Request-Id"]);
+  log_.Note(held.request_id, "taken", "connection=%llu class=%s left_s=%.3f",
+            static_cast<unsigned long long>(connection), held.cls.c_str(), call.timeout_s);
   held.head.reserve(512);
   held.head.append(View(message.method_string())).append(" ").append(target).append(" HTTP/1.1\r\n");
   AppendEndToEnd(message, &held.head, [](const auto& field) {
@@ -303,12 +314,12 @@
   Held& held = it->second;
   uint32_t id = action.request, backend = action.backend;
   int attempt = static_cast<int>(held.attempts.size());
-  bool two = held.Out();
+  SendVerdict verdict = MaySend(held, attempt, true);
+  if (attempt > 0) counters_.retried.Add(held.attempts.back().result);
   held.attempts.push_back({});
   double left = std::chrono::duration<double>(held.deadline - Clock::now()).count();
   double patience = action.seconds == 0 ? left : std::min(action.seconds, left);
-  if (held.answered || held.spent || held.streaming >= 0 || patience <= 0 ||
-      (two && !held.config->settings.parallel_tries) || attempt >= held.config->settings.try_limit) {
+  if (verdict != SendVerdict::kSend) {
     held.attempts.back().out = true;  // until the outcome is told
     return asio::post(io_, [this, id, attempt, backend] {
       AttemptEnd end;
@@ -321,6 +332,10 @@
   message.text.append(held.head).append("Request-Timeout-Ms: ");
   message.timeout_at = message.text.size();
   message.most_timeout_s = held.timeout_s;
+  message.permit = [this, id, attempt] {
+    auto at = held_.find(id);
+    return at != held_.end() && MaySend(at->second, attempt, false) == SendVerdict::kSend;
+  };
   message.text.append("\r\n\r\n").append(held.body);
   held.attempts.back().out = true;
   held.attempts.back().number = pool_.Send(
@@ -337,6 +352,34 @@
            : std::function<void(std::function<void(std::string, bool)>)>()});
 }
 
+SendVerdict Gateway::MaySend(const Held& held, int attempt, bool decided) {
+  const auto& settings = held.config->settings;
+  SendFacts facts;
+  facts.effect = held.effect;
+  facts.answered = held.answered || held.streaming >= 0;
+  facts.client_present = server_.ClientPresent(held.connection);
+  facts.body_held = !held.spent;
+  facts.parallel = settings.parallel_tries;
+  for (size_t i = 0; i < held.attempts.size(); ++i)
+    facts.other_out |= held.attempts[i].out && static_cast<int>(i) != attempt;
+  facts.may_have_run = held.may_have_run;
+  facts.attempts_left = attempt < settings.try_limit;
+  facts.now = Clock::now();
+  facts.deadline = held.deadline;
+  SendVerdict verdict = CheckSend(facts);
+  log_.Note(held.request_id, decided ? "attempt" : "write", "attempt=%d verdict=%s", attempt, Name(verdict));
+  if (verdict == SendVerdict::kSend) return verdict;
+  counters_.held_back.Add(verdict);
+  if (verdict == SendVerdict::kUnsafeRepeat || verdict == SendVerdict::kOtherOut)
+    counters_.invariants.Check(
+        Invariant::kSafeRepeat, false,
+        "request=" + held.request_id + " attempt=" + std::to_string(attempt) + " " + Name(verdict));
+  // Posted: the caller may be in the middle of its actions.
+  if (verdict == SendVerdict::kClientGone)
+    asio::post(io_, [this, connection = held.connection] { server_.ClientLeft(connection); });
+  return verdict;
+}
+
 // From the first piece on the request can't be sent again: what has gone out is not held.
 void Gateway::PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> to) {
   auto it = held_.find(id);
@@ -389,9 +432,13 @@
   auto it = held_.find(id);
   if (it == held_.end()) return;
   Held& held = it->second;
+  Result r = end.result;
   held.attempts[static_cast<size_t>(attempt)].out = false;
+  held.attempts[static_cast<size_t>(attempt)].result = r;
+  counters_.attempts.Add(r);
+  log_.Note(held.request_id, "ended", "attempt=%d backend=%u result=%s took_s=%.4f", attempt, backend,
+            Name(r), end.took_s);
   reporting_ = id;
-  Result r = end.result;
   if (r != Result::kFull && r != Result::kConnectFailed && r != Result::kNeverSent) held.may_have_run = true;
   // The first good answer goes to the client by itself and ends the request. Told to the module first would
   // be as good, but its client is waiting.
@@ -432,6 +479,11 @@
   if (it == held_.end() || it->second.answered) return;
   Held& held = it->second;
   held.answered = true;
+  log_.Note(held.request_id, "answered", "status=%d", answer.status);
+  if (held.streaming < 0) {
+    bool in_time = Clock::now() <= held.client_deadline + Seconds(kLateAnswerS);
+    if (!in_time) counters_.invariants.Check(Invariant::kAnsweredInTime, false, "request=" + held.request_id);
+  }
   Counters::PerClass& count = counters_.classes[held.cls];
   bool shed = answer.status == 429 || answer.status == 503;
   ++(answer.status == 200 ? count.ok : shed ? count.shed : count.errors);
@@ -441,8 +493,8 @@
   Forget(id);
 }
 
-// Of a request that is over nothing goes out any more: an attempt whose connection has not come up is none, and
-// whether the settings allow attempts to be cancelled does not matter.
+// Of a request that is over nothing goes out any more: an attempt whose connection has not come up is none,
+// and whether the settings allow attempts to be cancelled does not matter.
 void Gateway::Withdraw(uint32_t id) {
   const Held& held = held_.at(id);
   for (size_t i = 0; i < held.attempts.size(); ++i) {
@@ -479,12 +531,21 @@
   });
 }
 
-void Gateway::OnClosed(uint64_t connection, bool held) {
+void Gateway::OnClosed(uint64_t connection, bool held, CloseReason reason) {
+  counters_.closed.Add(reason);
   if (shutdown_at_) asio::post(io_, [this] { CheckShutdown(); });
   auto it = by_connection_.find(connection);
   if (!held || it == by_connection_.end()) return;
   uint32_t id = it->second;
   by_connection_.erase(it);
+  const std::string& request_id = held_.at(id).request_id;
+  log_.Note(request_id, "closed", "connection=%llu reason=%s", static_cast<unsigned long long>(connection),
+            Name(reason));
+  bool by_client = reason == CloseReason::kClientEnded || reason == CloseReason::kSlowBody ||
+                   reason == CloseReason::kBrokenBody || reason == CloseReason::kSlowReader;
+  if (!by_client)
+    counters_.invariants.Check(Invariant::kAnsweredBeforeClose, false,
+                               "request=" + request_id + " reason=" + Name(reason));
   held_.at(id).answered = true;
   Withdraw(id);
   if (int streaming = held_.at(id).streaming; streaming >= 0) CancelAttempt(id, streaming, 0);
@@ -595,6 +656,9 @@
 void Gateway::BeginTaking() {
   if (taking_) return;
   taking_ = true;
+  double took_s = std::chrono::duration<double>(Clock::now() - started_at_).count();
+  counters_.invariants.Check(Invariant::kReadyInTime, took_s <= kReadyWithinS || two_,
+                             "took_s=" + std::to_string(took_s));
   server_.Accept();
 }
 
@@ -668,6 +732,18 @@
     line("shed." + name, count.shed);
     line("errors." + name, count.errors);
   }
+  auto each = [&](const std::string& what, const auto& counts) {
+    counts.Each([&](const char* name, uint64_t count) { line(what + "." + name, count); });
+  };
+  each("attempts", counters_.attempts);
+  each("retried", counters_.retried);
+  each("refused", counters_.refused);
+  each("held_back", counters_.held_back);
+  each("closed", counters_.closed);
+  for (size_t i = 0; i < static_cast<size_t>(Invariant::kCount); ++i) {
+    auto invariant = static_cast<Invariant>(i);
+    line(std::string("violations.") + Name(invariant), counters_.invariants.violations(invariant));
+  }
   line("tries", counters_.tries);
   line("active", by_connection_.size());
   line("pool_size", listed_.size());
@@ -719,9 +795,7 @@
   if (draining_) return;
   draining_ = true;
   members_.Leave(false);
-  drain_timer_.expires_after(Seconds(kStillComingS));
-  drain_timer_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
+  drain_timer_.Start(Seconds(kStillComingS), [this] {
     server_.AskToClose(true);
     KeepClosing();
   });
@@ -730,16 +804,13 @@
 void Gateway::KeepClosing() {
   server_.CloseIdle();
   CheckShutdown();
-  drain_timer_.expires_after(Seconds(kCloseEveryS));
-  drain_timer_.async_wait([this](error_code cancelled) {
-    if (!cancelled) KeepClosing();
-  });
+  drain_timer_.Start(Seconds(kCloseEveryS), [this] { KeepClosing(); });
 }
 
 void Gateway::Serve() {
   draining_ = false;
   members_.Return();
-  drain_timer_.cancel();
+  drain_timer_.Cancel();
   server_.AskToClose(false);
 }
 
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -21,7 +21,9 @@
 #include "net/discovery_client.h"
 #include "net/maintenance.h"
 #include "net/members.h"
+#include "net/one_shot_timer.h"
 #include "net/ops_server.h"
+#include "net/request_log.h"
 #include "net/sibling.h"
 
 namespace lemonchute::net {
@@ -55,9 +57,11 @@
   struct Attempt {
     uint64_t number = 0;  // the pool's
     bool out = false;
+    lemonchute::policy::Result result = lemonchute::policy::Result::kOk;  // once it has ended
   };
   struct Held {
     uint64_t connection = 0;
+    std::string request_id;                // its client's
     std::string head, body;                // of the message to backends, but for the time-out
     std::string cls;                       // its name, for the figures
     std::shared_ptr<const Config> config;  // that it came under
@@ -68,6 +72,8 @@
     bool spent = false;                       // a part that is not held any more has gone out
     double timeout_s = 0;
     bool answered = false, may_have_run = false, free = false;
+    lemonchute::policy::Effect effect = lemonchute::policy::Effect::kFree;
+    Clock::time_point client_deadline;  // by which the client waits, as far as that is known here
     bool Out() const {
       return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
     }
@@ -95,6 +101,9 @@
   void OnCount(const lemonchute::policy::CountAnswer& answer);
   void Commit(Change& change) noexcept;
   void SendAttempt(const lemonchute::policy::Action& action);
+  // What the guard says of an attempt now. Counts and logs a no, and ends the request of a client that has
+  // gone.
+  SendVerdict MaySend(const Held& held, int attempt, bool decided);
   void CancelAttempt(uint32_t id, int attempt, uint32_t backend);
   bool OnBegin(uint32_t id, int attempt, const std::string& headers, std::optional<uint64_t> length);
   void OnEnd(uint32_t id, int attempt, uint32_t backend, AttemptEnd end);
@@ -108,7 +117,7 @@
 
   void OnMessage(uint64_t connection, ClientMessage message, const std::optional<Upload>& upload);
   void PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> to);
-  void OnClosed(uint64_t connection, bool held);
+  void OnClosed(uint64_t connection, bool held, CloseReason reason);
   void OnList(const BackendList& list, lemonchute::policy::ListKind kind);
   void AddTimer(Clock::time_point at, Due due, uint64_t tag);
   void ArmTimers();
@@ -140,6 +149,8 @@
   BackendIds ids_;
   std::vector<uint32_t> listed_;  // backends named by discovery and not gone
   Counters counters_;
+  RequestLog log_;
+  const Clock::time_point started_at_ = Clock::now();
   Maintenance maintenance_;
   Sibling sibling_;
   bool two_;                            // the other process of this gateway is alive
@@ -161,7 +172,7 @@
   bool ready_ = false, draining_ = false, taking_ = false;
   bool adopted_ = false;  // the clients' socket is shared with other processes
   asio::steady_timer sibling_timer_;
-  asio::steady_timer drain_timer_;
+  OneShotTimer drain_timer_;
   std::optional<Clock::time_point> shutdown_at_, end_at_;
   asio::steady_timer shutdown_timer_;
   std::optional<lemonchute::policy::Balancer> balancer_;
