--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -750,7 +750,8 @@
     bool late = r.left_s < longest_left_[r.cls] - s_.resolution_s && c.deadline_s - r.left_s > c.aim_s;
     if (late) share *= c.late_share;
     // Gateways that seldom have an attempt out at a backend go by the answers of all backends together.
-    if (Random() > std::pow(let_in_, (lent ? 2 : 1) / (kLeastRoom + (1 - kLeastRoom) * share))) return true;
+    double let_in = std::pow(let_in_, (lent ? 2 : 1) / (kLeastRoom + (1 - kLeastRoom) * share));
+    if (Random() > std::max(kLeastLetIn, let_in)) return true;
     double room = kLeastRoom + (1 - kLeastRoom) * share;
     return out >= limit * room * (lent ? kLentRoom : 1);
   }
