Drawn fault plans with failing system calls, judged by the gateways' invariants too

The rest after a failing accept was 50 ms each time; it now doubles from 2 ms to 50 ms, so a failure of a moment costs no request with little time.

--- a/lab/experiment/faults.cpp
+++ b/lab/experiment/faults.cpp
@@ -177,6 +177,7 @@
   std::ofstream(file) << WriteScenario(scenario);
   std::vector<std::string> arguments = {"run",     file.string(),       "--real", "--json", "--history",
                                         "--seeds", std::to_string(seed)};
+  if (hunt.system_faults) arguments.push_back("--system-faults");
   if (!hunt.gateway.empty()) arguments.insert(arguments.end(), {"--gateway", hunt.gateway});
   std::string text = Capture(hunt.lab, arguments);
   std::filesystem::remove(file);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -29,7 +29,7 @@
 struct Asked {
   std::vector<std::string> scenarios, settings, builds;
   std::string seeds = "1", gateway, logs, report, output = "report.html", sweep, history, folder, kind, plans;
-  bool real = false, null_run = false, as_json = false;
+  bool real = false, null_run = false, as_json = false, system_faults = false;
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
   int for_s = 900, events = 8, gateways = 0;
   double quiet_s = 10, recover_s = 0;
@@ -102,6 +102,10 @@
   return (self.parent_path() / name).string();
 }
 
+std::string FaultsLibrary(const Asked& asked) {
+  return asked.system_faults ? BesideLab("liblemonchute_faults.so") : "";
+}
+
 Batch MakeBatch(const Asked& asked) {
   Batch batch;
   batch.scenarios = ReadScenarios(asked);
@@ -110,6 +114,7 @@
   batch.jobs = std::clamp(asked.jobs, 1, 256);
   batch.real.program = asked.gateway.empty() ? BesideLab("lemonchute") : asked.gateway;
   batch.real.folder = asked.logs;
+  batch.real.faults_library = FaultsLibrary(asked);
   batch.with_history = asked.with_history || !asked.history.empty();
   batch.history = asked.history;
   batch.progress = ProgressLine();
@@ -198,6 +203,7 @@
   if (asked.real) {
     hunt.lab = BesideLab("lemonchute-lab");
     hunt.gateway = asked.gateway.empty() ? BesideLab("lemonchute") : asked.gateway;
+    hunt.system_faults = asked.system_faults;
   }
   hunt.progress = ProgressLine();
   if (!asked.plans.empty()) {
@@ -336,6 +342,8 @@
     to->add_flag("--real", asked.real, "on real sockets, round gateway processes; else in virtual time");
     to->add_flag("--null", asked.null_run, "on real sockets without a gateway: what the lab itself costs");
     to->add_option("--gateway", asked.gateway, "the gateway program; else the one beside this program");
+    to->add_flag("--system-faults", asked.system_faults,
+                 "on real sockets: gateways' system calls fail too, and the wall clock is stepped");
     to->add_option("--logs", asked.logs, "keep logs and configurations in this folder");
     to->add_option("--jobs", asked.jobs, "threads in virtual time")->capture_default_str();
     to->add_option("--report", asked.report, "write a page with plots there too");
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -12,6 +12,7 @@
 
 #include "model/settings.h"
 #include "play/real/real_day.h"
+#include "play/real/system_faults.h"
 
 namespace lemonchute::lab {
 namespace {
@@ -21,18 +22,20 @@
 constexpr Micros kReadyEach = 100'000;         // the front asks ten times a second (LATER)
 constexpr Micros kEndLimit = 5 * kSecond;
 constexpr Micros kWatchEach = 50'000;
+constexpr std::string_view kViolated = "invariant violated: ";  // as gateways say it in their logs
 constexpr uintmax_t kMostLog = uintmax_t{64}
                                << 20;  // bytes; a day's log that is longer is a fault of its own
 
 }  // namespace
 
 Fleet::Fleet(World& world, Agents& agents, Door& door, History& history, std::string program,
-             std::string folder)
+             std::string faults_library, std::string folder)
     : world_(world),
       agents_(agents),
       door_(door),
       history_(history),
       program_(std::move(program)),
+      faults_library_(std::move(faults_library)),
       folder_(std::move(folder)),
       seeds_(world.day.seed, Stream::kSeeds),
       spoils_(world.day.seed, Stream::kFaults),
@@ -115,6 +118,11 @@
                        {"LB_CONFIG", Write(gateway)},
                        {"LB_OPS", Slice::Text(world_.slice.Ops(gateway, m.ops))},
                        {"TMPDIR", m.temporary}};
+  if (!faults_library_.empty()) {
+    start.environment["LD_PRELOAD"] = faults_library_;
+    start.environment["LEMONCHUTE_FAULTS"] = DrawSystemFaults(
+        {world_.day.seed, gateway, m.launches, ToS(world_.day.length), std::max(0.0, ToS(world_.Now()))});
+  }
   if (m.listening >= 0) start.environment["LB_PASSED_SOCKET"] = "4";
   start.listening = m.listening;
   start.log = folder_ + "/" + name + ".log";
@@ -277,6 +285,7 @@
 void Fleet::Stop(int gateway, bool stop) {
   Member& m = members_[static_cast<size_t>(gateway)];
   bool was = m.stops > 0;
+  m.held_up = true;
   m.stops = std::max(0, m.stops + (stop ? 1 : -1));
   if (was == (m.stops > 0) || m.processes.empty()) return;
   SignalAll(m, stop ? SIGSTOP : SIGCONT);
@@ -288,6 +297,7 @@
 void Fleet::Squeeze(int gateway, double share) {
   Member& m = members_[static_cast<size_t>(gateway)];
   uint64_t squeeze = ++m.squeezes;
+  m.held_up = true;
   if (m.stops == 0) SignalAll(m, SIGCONT);
   if (share > 0 && share < 1) Slice(gateway, share, squeeze);
 }
@@ -416,6 +426,10 @@
     std::string fault;
     int unread = 0;
     for (std::string line; std::getline(in, line);) {
+      // A process that the lab has stopped for longer than the rules allow for can't keep times.
+      bool of_times = line.find("_in_time: ") != std::string::npos || line.find("time_told: ") != std::string::npos;
+      if (line.rfind(kViolated, 0) == 0 && !(of_times && members_[static_cast<size_t>(g)].held_up))
+        world_.judge.Broke("invariant", world_.Now(), UINT32_MAX, GatewayName(g) + ": " + line);
       if (auto fact = ReadSaying(line, g, world_.schedule.ClockAtStart(), &fault))
         history_.Add(std::move(*fact));
       else if (!fault.empty() && ++unread == 1)
--- a/lab/play/real/fleet.h
+++ b/lab/play/real/fleet.h
@@ -19,7 +19,8 @@
 
 class Fleet {
  public:
-  Fleet(World& world, Agents& agents, Door& door, History& history, std::string program, std::string folder);
+  Fleet(World& world, Agents& agents, Door& door, History& history, std::string program,
+        std::string faults_library, std::string folder);
   ~Fleet();
 
   // Starts all; `ready` is called once each says yes, or after 30 s, with the numbers of those that did not.
@@ -67,6 +68,7 @@
     int launches = 0, ops = 0, stops = 0;
     Micros went_on = 0;     // after its latest stop, or ready after its latest start; kNever: not yet
     int claims = -1;        // the number that it says is its own; -1: the right one
+    bool held_up = false;  // the lab has stopped it or slowed it down
     uint64_t squeezes = 0;  // the newest squeeze counts
     std::unique_ptr<StateFolder> state;
     size_t told_ended = 0;
@@ -92,7 +94,7 @@
   Agents& agents_;
   Door& door_;
   History& history_;
-  std::string program_, folder_;
+  std::string program_, faults_library_, folder_;
   Random seeds_, spoils_;
   double scale_ = 1;
   uint64_t hups_ = 0;
--- a/lab/play/real/real_day.cpp
+++ b/lab/play/real/real_day.cpp
@@ -70,7 +70,7 @@
         door_(world_),
         relays_(world_),
         peers_(world_, history_),
-        fleet_(world_, agents_, door_, history_, options.program, folder_.path()),
+        fleet_(world_, agents_, door_, history_, options.program, options.faults_library, folder_.path()),
         clients_(world_, backends_, options.null_run,
                  [this](int g, Micros sent) { return options_.null_run || fleet_.Answers(g, sent); }),
         operators_(world_, fleet_, door_,
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
@@ -12,8 +13,9 @@
 namespace lemonchute::net {
 namespace {
 
-// After a shortage of descriptors or memory. Guards against a spinning loop.
-constexpr auto kShortageRetry = std::chrono::milliseconds(50);
+// After a shortage of descriptors or memory: rests that double from the first to the last. Requests with
+// little time wait meanwhile; the rests guard against a spinning loop.
+constexpr auto kFirstRest = std::chrono::milliseconds(2), kLastRest = std::chrono::milliseconds(50);
 // Connections that failed by themselves, one after the other, until accept is given a rest as well.
 constexpr int kMostFailedAtOnce = 16;
 
@@ -128,6 +130,7 @@
         if (error == asio::error::operation_aborted) return;
         if (error) return Retry(error, std::move(on_connection));
         failed_connections_ = 0;
+        rest_ = {};
         on_connection(std::move(socket));
       });
 }
@@ -136,7 +139,8 @@
   if (OfOneConnection(error.value()) && ++failed_connections_ <= kMostFailedAtOnce)
     return Accept(std::move(on_connection));
   failed_connections_ = 0;
-  retry_.expires_after(kShortageRetry);
+  rest_ = std::clamp<asio::steady_timer::duration>(2 * rest_, kFirstRest, kLastRest);
+  retry_.expires_after(rest_);
   retry_.async_wait([this, on_connection = std::move(on_connection)](error_code cancelled) mutable {
     if (!cancelled) Accept(std::move(on_connection));
   });
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -35,7 +35,8 @@
   tcp::acceptor acceptor_;
   tcp::endpoint local_;
   asio::steady_timer retry_;
-  int failed_connections_ = 0;  // in a row
+  int failed_connections_ = 0;           // in a row
+  asio::steady_timer::duration rest_{};  // the last one, while accept goes on failing
 };
 
 }  // namespace lemonchute::net
