Three tests that fail: the wall clock stepped, connects that fail here, a read that fails

As found: after a step of an hour a backend that has just started gets 40 of 40 requests at once (3 at the most are due to it), or stays cold for the hour; eight connects that fail with EADDRNOTAVAIL, ENETUNREACH or EINTR set both backends aside and fail the request; EIO on the list of what operators took out sends 10 of 10 requests to the backend taken out.

--- a/tests/system_fault_test.cpp
+++ b/tests/system_fault_test.cpp
@@ -65,4 +65,81 @@
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
 }
 
+// A shortage of this machine's is no fault of the backends: a connect is tried again, and no backend is set
+// aside.
+TEST(Connecting, AShortageOfThisMachineIsNoFaultOfTheBackends) {
+  Backend one(Says(Ok("x"))), two(Says(Ok("x")));
+  for (const char* error : {"EADDRNOTAVAIL", "ENETUNREACH", "EINTR"}) {
+    Site site(
+        json::array({Entry("s1", one.port()), Entry("s2", two.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+        With(std::string("connect.") + error + "=#3-10", kOps));  // after the counter's and discovery's own
+    auto client = site.gateway->Connect();
+    for (int i = 0; i < 5; ++i) EXPECT_EQ(Ask(*client, Fresh("save-scenario")).status(), 200) << error;
+    EXPECT_EQ(Figure(site.gateway->ops_port, "pool_ejected"), 0) << error;
+  }
+}
+
+// What an operator has taken out, or put, is still owed where the folder can't be read for a moment at a
+// start.
+TEST(Disk, WhatWasKeptOutlivesAReadThatFailsForAMoment) {
+  Backend one(Says(Ok("x"))), two(Says(Ok("x")));
+  Folder folder;
+  json entries = json::array({Entry("s1", one.port()), Entry("s2", two.port())});
+  Process::Environment kept = kOps;
+  kept["TMPDIR"] = folder.path();
+  {
+    Site site(entries, {}, LEMONCHUTE_GATEWAY, 0, kept);
+    EXPECT_EQ(Call(site.gateway->ops_port, "PUT", "/control/backends/s1/offline").status(), 200);
+    site.gateway->Signal(SIGKILL);
+    EXPECT_EQ(site.gateway->Exit(), -SIGKILL);
+  }
+  // The file of the configuration, the record of revisions, the list of what is offline.
+  for (const char* faults : {"open-read.EIO=#3", "open-read.EMFILE=#3"}) {
+    Site site(entries, {}, LEMONCHUTE_GATEWAY, 0, With(faults, kept));
+    int before = one.requests.count();
+    auto client = site.gateway->Connect();
+    for (int i = 0; i < 10; ++i) EXPECT_EQ(Ask(*client, Fresh("quote")).status(), 200);
+    EXPECT_EQ(one.requests.count(), before) << faults;
+    site.gateway->Signal(SIGKILL);
+    EXPECT_EQ(site.gateway->Exit(), -SIGKILL);
+  }
+}
+
+// A backend's start is told by the wall clock, which may be stepped, here or on all machines: what has just
+// been told of a running watch has just started, and is warm when that time is over.
+struct Step {
+  const char* faults;
+  double told_ahead_s;  // by how much discovery's clock is ahead of the true one
+};
+
+void BackendThatHasJustStartedIsColdForItsTimeAndNoLonger(const Step& step) {
+  SCOPED_TRACE(std::string(step.faults) + ", discovery ahead by " + std::to_string(step.told_ahead_s));
+  Backend warm(Says(Ok("x"))), fresh(Says(Ok("x")));
+  json config = Config(0, 0);
+  config["settings"]["invariants"]["warm-after-s"] = 2.0;
+  Site site(One(warm), config, LEMONCHUTE_GATEWAY, 0, With(step.faults));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));  // past the step
+  double now_s = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  json started = Entry("s2", fresh.port());
+  started["since_ms"] = (now_s + step.told_ahead_s) * 1000;
+  site.discovery.Set(json::array({started}));  // nothing else is left to send to
+  ASSERT_TRUE(site.discovery.Told());
+  auto client = site.gateway->Connect();
+  auto served = [&] {
+    int count = 0;
+    for (int i = 0; i < 40; ++i) count += Ask(*client, Fresh("quote")).status() == 200 ? 1 : 0;
+    return count;
+  };
+  EXPECT_LE(served(), 3);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2200));
+  EXPECT_GE(served(), 30);
+}
+
+TEST(WallClock, AStepOfItLeavesABackendColdForItsTimeAndNoLonger) {
+  for (const Step& step :
+       {Step{"clock.step=3600@0", 0}, Step{"clock.step=-3600@0", 0}, Step{"clock.step=-3600@0.2", -3600},
+        Step{"clock.step=3600@0.2", 3600}, Step{"clock.step=3600@0.2", 0}})
+    BackendThatHasJustStartedIsColdForItsTimeAndNoLonger(step);
+}
+
 }  // namespace
