Starts of backends are kept by the monotonic clock, counts follow the wall clock's steps

Cause: Gateway::epoch_s_ takes the wall clock once, at the start, and since_ms was judged by it ever after. With the clock ahead a backend that had just started counted as warm and got all that came, with it behind it stayed cold for as long as the step. Ruled out: timers, deadlines and patience, which go by the monotonic clock.

net/start_times turns since_ms into the monotonic clock when it is first told, and holds it; what a running watch tells anew is no older than what discovery may have kept back, or the clocks disagree and it counts as just started. Names of counts at the counter follow the clock that all gateways share, also after a step; what is counted goes on. Open: a process that starts after a step forward and finds a start from before it in its first list.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -246,8 +246,15 @@
   double Entries(const Customer& c) const { return c.entries * processes_; }
   static double WindowS(const PlanSettings& p) { return p.burst / p.rate; }
   static bool Soft(const PlanSettings& p) { return p.excess_worth > p.over_cost; }
-  static int64_t WindowNow(const PlanSettings& p, double now) {
-    return static_cast<int64_t>(std::floor(now / WindowS(p)));
+  int64_t WindowNow(const PlanSettings& p, double now) const {
+    return static_cast<int64_t>(std::floor((now + wall_ahead_s_) / WindowS(p)));
+  }
+
+  // Windows have other names from now on: each is begun anew with what is known of it here.
+  void OnWallClock(double now, double ahead_s) {
+    for (auto& [id, c] : customers_) Refill(&c, now);
+    wall_ahead_s_ = ahead_s;
+    for (auto& [id, c] : customers_) Rebase(&c, now);
   }
   static double Cap(const PlanSettings& p) { return p.ceiling_burst + kSlackShare * p.ceiling_slack; }
 
@@ -431,7 +438,7 @@
 
   void TakeTotal(uint64_t id, Customer* c, double amount, double total, double now, Actions* out) {
     const PlanSettings& p = PlanOf(*c);
-    double width = WindowS(p), in_window = now - static_cast<double>(c->window) * width;
+    double width = WindowS(p), in_window = now + wall_ahead_s_ - static_cast<double>(c->window) * width;
     double others = total - c->total - amount, span = now - c->read_at;
     c->read_at = now;
     c->total = total;
@@ -542,7 +549,7 @@
   void TellOpen(uint64_t id, Customer* c, double now, Actions* out) {
     const PlanSettings& p = PlanOf(*c);
     if (!s_.may_count || p.parallel <= 0 || Entries(*c) < 2 || c->out_calling) return;
-    int64_t epoch = static_cast<int64_t>(std::floor(now / kEpochS));
+    int64_t epoch = static_cast<int64_t>(std::floor((now + wall_ahead_s_) / kEpochS));
     if (epoch != c->epoch) {
       c->epoch = epoch;
       c->told = 0;
@@ -1100,6 +1107,7 @@
   std::vector<double> inside_;  // by plan, share of the tries held for the counter that were inside
   double counter_after_ = 0, crowd_ = 0, forgot_log_ = -1e9, swept_at_ = 0;
   int failed_calls_ = 0;
+  double wall_ahead_s_ = 0;
   int processes_ = 1;                   // of this gateway
   int warm_ = 0;                        // backends warm and ready
   double warm_work_ = 0, warm_at_ = 0;  // s of work served by a warm backend, fading
@@ -1131,6 +1139,7 @@
 void Balancer::OnSettings(double t, PreparedSettings&& fresh, Actions*) noexcept {
   impl_->OnSettings(t, std::move(fresh));
 }
+void Balancer::OnWallClock(double t, double ahead_s) { impl_->OnWallClock(t, ahead_s); }
 void Balancer::OnProcesses(double t, int processes, Actions*) { impl_->OnProcesses(t, processes); }
 int Balancer::Avoided(double now) const { return impl_->Avoided(now); }
 void Balancer::OnCount(double t, const CountAnswer& a, Actions* out) { impl_->OnCount(t, a, out); }
--- a/src/balance.h
+++ b/src/balance.h
@@ -169,6 +169,8 @@
   Places InUse() const;
   PreparedSettings Prepare(const Settings& settings, const Places& renewed) const;
   void OnSettings(double now, PreparedSettings&& fresh, Actions* out) noexcept;
+  // The clock that all gateways share, by which counts are named, is so far ahead of `now`.
+  void OnWallClock(double now, double ahead_s);
   // How many processes of this gateway are alive: it counts as one, so each has its part of what one may.
   void OnProcesses(double now, int processes, Actions* out);
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -32,7 +32,11 @@
 // answered, and what was answered last has had a moment to be read.
 constexpr double kLongestCountedS = 3, kEndMarginS = 0.6, kLastWordS = 0.1;
 constexpr double kSiblingEveryS = 0.1,
-                 kNoticedS = 0.3;     // the other process is looked for; and notices this one
+                 kNoticedS = 0.3;  // the other process is looked for; and notices this one
+// A step of the wall clock; less is its being set right little by little. Its reading takes no longer than
+// this.
+constexpr double kLeastStepS = 0.5;
+constexpr auto kClockReading = std::chrono::milliseconds(100);
 constexpr double kLateAnswerS = 0.5;  // after its time, until which a final answer is none that is lost
 constexpr double kReadyWithinS = 10;
 constexpr double kCloseEveryS = 0.5;  // drained: connections that have gone idle or come idle are looked for
@@ -202,7 +206,7 @@
   });
 }
 
-// Monotonic, and the same at every gateway as far as the machines' clocks agree when they start.
+// Monotonic: seconds since the epoch as far as the wall clock was right when this process started.
 double Gateway::Now() const {
   return epoch_s_ + std::chrono::duration<double>(Clock::now().time_since_epoch()).count();
 }
@@ -555,11 +559,38 @@
   Forget(id);
 }
 
+// The wall clock, in seconds. Read between two looks at the monotonic one, as the process may be held up in
+// between.
+double Gateway::WallS() const {
+  for (;;) {
+    auto before = Clock::now();
+    double wall = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+    if (Clock::now() - before < kClockReading) return wall;
+  }
+}
+
+// Counts at the counter are named by spans of the wall clock, which all gateways read. After a step of it
+// they are named anew here as everywhere; what is counted goes on.
+void Gateway::FollowWallClock() {
+  double ahead_s = WallS() - Now();
+  if (std::abs(ahead_s - wall_ahead_s_) < kLeastStepS) return;
+  wall_ahead_s_ = ahead_s;
+  ++counters_.clock_steps;
+  std::fprintf(stderr, "the wall clock was stepped: it is %.1f s ahead of what it was at the start\n",
+               ahead_s);
+  Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions*) {
+    b.OnWallClock(now, ahead_s);
+  });
+}
+
 void Gateway::OnList(const BackendList& list, ListKind kind) {
+  FollowWallClock();
+  start_times_.Listing(Now(), WallS(), kind != ListKind::kCached);
   std::vector<lemonchute::policy::Backend> entries;
   std::vector<uint32_t> named;
   for (const Listed& listed : list.entries) {
     entries.push_back(listed.backend);
+    entries.back().started_s = start_times_.Started(listed.backend.id, listed.backend.started_s);
     uint32_t id = listed.backend.id;
     switch (listed.backend.state) {
       case lemonchute::policy::BackendState::kReady: pool_.Update(id, listed.address); break;
@@ -581,6 +612,7 @@
       if (!gone && at == listed_.end()) listed_.push_back(listed.backend.id);
     }
   }
+  if (kind != ListKind::kCached) start_times_.Listed();
   Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out) {
     b.OnList(now, kind, entries, out);
   });
@@ -744,6 +776,7 @@
     auto invariant = static_cast<Invariant>(i);
     line(std::string("violations.") + Name(invariant), counters_.invariants.violations(invariant));
   }
+  line("clock_steps", counters_.clock_steps);
   line("tries", counters_.tries);
   line("active", by_connection_.size());
   line("pool_size", listed_.size());
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -25,6 +25,7 @@
 #include "net/ops_server.h"
 #include "net/request_log.h"
 #include "net/sibling.h"
+#include "net/start_times.h"
 
 namespace lemonchute::net {
 
@@ -94,6 +95,8 @@
   };
 
   double Now() const;
+  double WallS() const;
+  void FollowWallClock();
   template <typename Call>
   void Tell(Call call);
   void Act(lemonchute::policy::Action& action);
@@ -145,7 +148,9 @@
   asio::io_context& io_;
   ConfigKeeper* const keeper_;
   std::shared_ptr<const Config> config_;
-  const double epoch_s_;  // the system's clock at the monotonic clock's zero
+  const double epoch_s_;     // the wall clock at the monotonic clock's zero, as it was at the start
+  double wall_ahead_s_ = 0;  // by how much it is ahead of Now() since, for its steps
+  StartTimes start_times_;
   BackendIds ids_;
   std::vector<uint32_t> listed_;  // backends named by discovery and not gone
   Counters counters_;
--- a/tests/silent_balancer.cpp
+++ b/tests/silent_balancer.cpp
@@ -27,6 +27,7 @@
 void Balancer::OnTimer(double, uint64_t, Actions*) {}
 void Balancer::OnOffline(double, uint32_t, bool, Actions*) {}
 void Balancer::OnProcesses(double, int, Actions*) {}
+void Balancer::OnWallClock(double, double) {}
 Places Balancer::InUse() const { return {}; }
 PreparedSettings Balancer::Prepare(const Settings& settings, const Places&) const {
   return {settings, {}, {}, {}, {}};
