A connect that fails for a shortage of this machine's is tried again and no backend's fault

Cause: every failing socket or connect call ended its attempt as the backend's failure, so six attempts failed within a millisecond, both backends were set aside and, after 1.5 s of quiet, would have been met as cold. Such a connect (ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EINTR and the like) is now tried again after 2 to 50 ms within the time for connecting, the wait is not counted as the backend's, and if it stays the attempt was never sent. Ruled out: refusals by the backend, which fail at once as before.

--- a/src/balance.h
+++ b/src/balance.h
@@ -98,8 +98,10 @@
   bool finished = false;
   uint32_t backend = 0;
   double true_units = 0;  // 0: not told
-  double upload_s = 0;    // until the last byte of the attempt was out, where its request came in pieces
-  bool spent = false;     // the request can't be sent again: its body was not held
+  // Not its backend's time: until the last byte of the attempt was out, where its request came in pieces, or
+  // until a connection could be asked for.
+  double upload_s = 0;
+  bool spent = false;  // the request can't be sent again: its body was not held
 };
 
 struct CountAnswer {
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -1,9 +1,12 @@
 #include "net/backend_pool.h"
 
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <optional>
 
+#include "net/one_shot_timer.h"
+
 namespace lemonchute::net {
 
 using lemonchute::policy::Result;
@@ -29,6 +32,27 @@
 // platform allows a final answer to be late.
 constexpr auto kLate = std::chrono::milliseconds(250);
 
+// Between connects that fail for a shortage of this machine's.
+constexpr auto kFirstConnectRest = std::chrono::milliseconds(2),
+               kLastConnectRest = std::chrono::milliseconds(50);
+
+// Whether a connect has failed for want of something of this machine's, and not on account of the other side
+// (connect(2), socket(2)).
+bool IsShortage(int error) {
+  switch (error) {
+    case EADDRNOTAVAIL:
+    case EAGAIN:
+    case EINTR:
+    case EMFILE:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM: return true;
+    default: return false;
+  }
+}
+
 }  // namespace
 
 struct BackendPool::Backend {
@@ -42,7 +66,12 @@
 class BackendPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(BackendPool* pool, uint32_t backend, const tcp::endpoint& address)
-      : pool_(pool), backend_(backend), address_(address), socket_(pool->io_), timer_(pool->io_) {
+      : pool_(pool),
+        backend_(backend),
+        address_(address),
+        socket_(pool->io_),
+        timer_(pool->io_),
+        connect_again_(pool->io_) {
     ++pool_->connections_;
   }
   ~Connection() { CloseSocket(); }
@@ -66,7 +95,7 @@
     stream_ = std::move(stream);
     streaming_ = held_up_ = uploading_ = false;
     passed_on_ = 0;
-    upload_s_ = 0;
+    upload_s_ = waited_s_ = 0;
     by_pieces_ = stream_.more != nullptr;
     body_.clear();
     began_ = Clock::now();
@@ -95,6 +124,7 @@
     open_ = false;
     LeaveIdle();
     timer_.cancel();
+    connect_again_.Cancel();
     CloseNow(socket_);
     --pool_->connections_;
   }
@@ -129,7 +159,7 @@
         if (Clock::now() < due) return WaitUntil(std::min(due, give_up_));
       }
       // What never came up, or is not all written, has run nothing.
-      Finish(written_ ? Result::kTimeout : Result::kConnectFailed);
+      Finish(written_ ? Result::kTimeout : out_of_sockets_ ? Result::kNeverSent : Result::kConnectFailed);
     });
   }
 
@@ -139,16 +169,33 @@
   void WaitStreaming(Clock::time_point when) { WaitUntil(Timed() ? std::min(when, give_up_ + kLate) : when); }
 
   void Connect() {
-    error_code error = Open(socket_, address_);
-    if (error) {
-      return asio::post(pool_->io_, [self = shared_from_this(), this] { Finish(Result::kConnectFailed); });
-    }
     WaitUntil(std::min(begin_by_, began_ + pool_->connect_timeout_));
-    socket_.async_connect(address_, [self = shared_from_this(), this](error_code failed) {
+    TryConnect();
+  }
+
+  void TryConnect() {
+    waited_s_ = std::chrono::duration<double>(Clock::now() - began_).count();
+    auto done = [self = shared_from_this(), this](error_code failed) {
       if (closed_ || !busy_) return;
-      if (failed) return Finish(Result::kConnectFailed);
+      if (failed) return ConnectFailed(failed);
+      out_of_sockets_ = false;
       open_ = true;
       Opened();
+    };
+    if (error_code error = Open(socket_, address_))
+      return asio::post(pool_->io_, [done, error] { done(error); });
+    socket_.async_connect(address_, done);
+  }
+
+  // A shortage of this machine's tells nothing of the backend, and may be over in a moment: another attempt
+  // would meet the same one.
+  void ConnectFailed(error_code error) {
+    if (!IsShortage(error.value())) return Finish(Result::kConnectFailed);
+    out_of_sockets_ = true;
+    CloseNow(socket_);
+    connect_rest_ = std::clamp<Clock::duration>(2 * connect_rest_, kFirstConnectRest, kLastConnectRest);
+    connect_again_.Start(connect_rest_, [self = shared_from_this(), this] {
+      if (!closed_ && busy_) TryConnect();
     });
   }
 
@@ -365,7 +412,7 @@
   void Finish(AttemptEnd end, bool keep) {
     if (!busy_) return;
     busy_ = false;
-    end.upload_s = upload_s_;
+    end.upload_s = std::max(upload_s_, waited_s_);
     end.took_s = std::chrono::duration<double>(Clock::now() - began_).count();
     pool_->out_.erase(attempt_);
     Backend* b = pool_->Find(backend_);
@@ -390,6 +437,9 @@
   const tcp::endpoint address_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  OneShotTimer connect_again_;
+  Clock::duration connect_rest_{};  // before it, which doubles
+  bool out_of_sockets_ = false;     // the latest connect failed for a shortage of this machine's
   boost::beast::flat_buffer buffer_{kMaxBody + kMaxHeader};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   std::optional<std::list<Connection*>::iterator> idle_at_;
@@ -405,6 +455,7 @@
   Clock::time_point begin_by_;  // what has not begun to be written by then is not
   bool open_ = false, closed_ = false, busy_ = false, reading_ = false;
   double upload_s_ = 0;
+  double waited_s_ = 0;  // until the connect that counted, for a shortage of this machine's
   Clock::time_point wrote_at_;
   bool by_pieces_ = false;                  // the request is passed on as it comes
   bool uploading_ = false;                  // the next bytes of the request are asked for
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -29,7 +29,9 @@
   lemonchute::policy::Result result = lemonchute::policy::Result::kOk;
   bool streamed = false;  // the answer has begun before: neither headers nor body are here
   double took_s = 0;
-  double upload_s = 0;  // of that, until the last byte of a request that came in pieces
+  // Of that, on this side's account: until the last byte of a request that came in pieces, or until a
+  // connection could be asked for.
+  double upload_s = 0;
   double true_units = 0;
   std::string headers;  // end-to-end header lines of a good answer
   std::string body;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -22,7 +22,7 @@
   using Classes = std::map<std::string, PerClass>;
   Classes classes;  // by name
   uint64_t tries = 0;
-  uint64_t clock_steps = 0;  // of the wall clock
+  uint64_t clock_steps = 0;                                                               // of the wall clock
   CountsBy<lemonchute::policy::Result, lemonchute::policy::Result::kNeverSent> attempts;  // by how they ended
   CountsBy<lemonchute::policy::Result, lemonchute::policy::Result::kNeverSent> retried;   // by the end before
   CountsBy<lemonchute::policy::RefuseReason, lemonchute::policy::RefuseReason::kCount> refused;
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -21,12 +21,14 @@
 constexpr int kFirstWaitMs = 1;  // of a start: what has changed since the list it was given, at once
 constexpr auto kPatience = std::chrono::milliseconds(2000);  // as long as a call may wait for its turn
 constexpr auto kBackoffLeast = std::chrono::milliseconds(50);
-// The next call comes so soon that one more may be given up. A call comes after half of this in the mean, which
-// is as often as a watch is renewed: gateways that are refused ask for no more than those that are answered.
+// The next call comes so soon that one more may be given up. A call comes after half of this in the mean,
+// which is as often as a watch is renewed: gateways that are refused ask for no more than those that are
+// answered.
 constexpr auto kBackoffMost = kTold - 2 * kPatience;
 
-// After a move. Discovery pays for each line of a list, so those of a fleet are spread over the longest that the
-// protocol lets a watch wait: who waits so long for a change may wait as long to see that nothing is amiss.
+// After a move. Discovery pays for each line of a list, so those of a fleet are spread over the longest that
+// the protocol lets a watch wait: who waits so long for a change may wait as long to see that nothing is
+// amiss.
 constexpr auto kWholeWithin = std::chrono::milliseconds(60000);
 
 constexpr int kUnnamed = 65535;  // beyond all places: of a zone or kind that the settings do not name
