Two tests that fail: a configuration that can't be read at once, half a later head

As found: EIO on the configuration ends the start with status 1, and a client that stops in the head of a later request is closed after 4.0 s, where bad clients are owed their close within 3 s.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -498,6 +498,20 @@
   AwaitFigure(site.gateway->ops_port, "errors.quote", 1);
 }
 
+// A client that stops in the middle of a request and stays is owed its error or a close within 3 s, also on a connection
+// that has served before.
+TEST(Closing, AClientThatStopsInALaterRequestsHeadIsClosedWithinThreeSeconds) {
+  Backend backend(Says(Ok("x")));
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  ASSERT_EQ(Ask(*client, Request("quote")).status(), 200);
+  std::string half = Request("quote");
+  client->Write(half.substr(0, half.size() / 2));
+  auto stopped = Clock::now();
+  EXPECT_TRUE(client->Ended() || client->Ended());
+  EXPECT_LT(Clock::now() - stopped, std::chrono::seconds(3));
+}
+
 // Another customer's settings: a plan that has neither a rate nor a cap is within its quota.
 TEST(Settings, APlanWithoutAQuotaIsServed) {
   Backend backend(Says(Ok("x")));
--- a/tests/system_fault_test.cpp
+++ b/tests/system_fault_test.cpp
@@ -65,6 +65,16 @@
   EXPECT_EQ(Ask(*site.gateway->Connect(), Request("quote")).status(), 200);
 }
 
+// A configuration that can't be read for a moment, at the start or at SIGHUP, is read again.
+TEST(Starting, AConfigurationThatCannotBeReadForAMomentIsReadAgain) {
+  Backend backend(Says(Ok("x")));
+  Site site(One(backend), {}, LEMONCHUTE_GATEWAY, 0, With("open-read.EIO=#1-2;open-read.EMFILE=#4-5", kOps));
+  ASSERT_NE(site.gateway->port, 0);
+  site.gateway->Signal(SIGHUP);
+  AwaitFigure(site.gateway->ops_port, "config_applied", 1);
+  EXPECT_EQ(Figure(site.gateway->ops_port, "config_rejected"), 0);
+}
+
 // A shortage of this machine's is no fault of the backends: a connect is tried again, and no backend is set
 // aside.
 TEST(Connecting, AShortageOfThisMachineIsNoFaultOfTheBackends) {
