A file that can't be read for a moment is read again and not taken for empty

Cause: a failing open or read was taken for what the file holds. The list of backends taken out counted as empty, and its stamp as seen, so it was not read again; an unread record of revisions was written over; a configuration ended the start or cost its SIGHUP; the files of the two processes' locks were opened once, at the start.

--- a/src/net/config_keeper.cpp
+++ b/src/net/config_keeper.cpp
@@ -1,12 +1,14 @@
 #include "net/config_keeper.h"
 
+#include <cerrno>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <fstream>
 #include <memory>
-#include <sstream>
+#include <optional>
+#include <thread>
 
+#include "net/kept_file.h"
 #include "net/text.h"
 #include "wire.h"
 
@@ -20,6 +22,9 @@
 // longer is stopped, and is not waited for.
 constexpr auto kLockEvery = std::chrono::milliseconds(10);
 constexpr int kLockTries = 20;
+// At a start, for a file that is there and can't be read.
+constexpr auto kReadEvery = std::chrono::milliseconds(50);
+constexpr int kReadTries = 40;
 constexpr auto kWriteAgain = std::chrono::seconds(1);
 constexpr size_t kMostLogged = 8;  // warnings of one file
 
@@ -89,19 +94,18 @@
 
 ConfigKeeper::File ConfigKeeper::ReadFile(const json& form) const {
   File file;
-  std::ifstream in(path_, std::ios::binary);
-  std::stringstream text;
-  if (!in) {
-    config::AddFault(&file.faults, "", "cannot read the configuration " + path_);
-    return file;
-  }
   if (StampOf(path_).bytes > static_cast<int64_t>(config::kMostFile)) {  // not even read
     config::AddFault(&file.faults, "",
                      "the configuration is longer than " + std::to_string(config::kMostFile) + " bytes");
     return file;
   }
-  text << in.rdbuf();  // nothing at all, for an empty file
-  config::Document document = config::ReadDocument(text.str());
+  std::optional<std::string> text = ReadKeptFile(path_);
+  if (!text) {
+    file.unread = errno != ENOENT;
+    config::AddFault(&file.faults, "", "cannot read the configuration " + path_);
+    return file;
+  }
+  config::Document document = config::ReadDocument(*text);
   file.faults = std::move(document.faults);
   if (!document.value.is_object()) return file;
   config::Findings found = config::CheckConfig(document.value, config::Author::kPlatform, form);
@@ -114,6 +118,10 @@
 
 json ConfigKeeper::Begin() {
   File file = ReadFile(nullptr);
+  for (int tries = kReadTries; file.unread && tries > 0; --tries) {
+    std::this_thread::sleep_for(kReadEvery);
+    file = ReadFile(nullptr);
+  }
   config::Times now = Now();
   std::optional<config::State> record = record_.Read(), state;
   if (record) state = config::Revisions::Resume(*record, file.document, now);
@@ -180,17 +188,20 @@
 
 void ConfigKeeper::Hup() { TakeHup(kLockTries); }
 
+// A further signal meanwhile reads the same file, once.
+void ConfigKeeper::TakeHupAgain(int tries) {
+  hup_timer_.expires_after(kLockEvery);
+  hup_timer_.async_wait([this, tries](error_code cancelled) {
+    if (!cancelled) TakeHup(tries);
+  });
+}
+
 void ConfigKeeper::TakeHup(int tries) {
   Locked lock(&record_);
-  if (!lock.held && tries > 0) {
-    hup_timer_.expires_after(kLockEvery);  // a further signal meanwhile reads the same file, once
-    hup_timer_.async_wait([this, tries](error_code cancelled) {
-      if (!cancelled) TakeHup(tries - 1);
-    });
-    return;
-  }
+  if (!lock.held && tries > 0) return TakeHupAgain(tries - 1);
   if (lock.held) Follow();
   File file = ReadFile(revisions_->form());
+  if (file.unread && tries > 0) return TakeHupAgain(tries - 1);
   std::string why = config::OneLine(file.faults);
   if (file.faults.empty()) {
     config::Wish wish;
--- a/src/net/config_keeper.h
+++ b/src/net/config_keeper.h
@@ -45,6 +45,7 @@
   struct File {
     nlohmann::json document;  // null where it is not sound
     std::vector<config::Fault> faults, warnings;
+    bool unread = false;  // it is there and could not be read, which may pass
   };
   struct Failure {
     int status = 0;
@@ -57,6 +58,7 @@
   // Holds the record's lock while it lives; not `held` where another process has it.
   struct Locked;
   void TakeHup(int tries);
+  void TakeHupAgain(int tries);
   // Prepares, writes and commits. `must_keep`: only where the record could be written.
   std::optional<Failure> Commit(config::Next next, bool must_keep);
   void Follow();
--- a/src/net/maintenance.cpp
+++ b/src/net/maintenance.cpp
@@ -5,6 +5,9 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
+
+#include "net/kept_file.h"
 
 namespace lemonchute::net {
 
@@ -20,9 +23,10 @@
   if (path_.empty()) return false;
   FileStamp now = StampOf(path_);
   if (now == read_) return false;
+  std::optional<std::string> text = now == FileStamp{} ? std::string() : ReadKeptFile(path_);
+  if (!text) return false;  // tried again with the next look at it
   read_ = now;
-  std::ifstream in(path_);
-  json names = json::parse(in, nullptr, false);
+  json names = json::parse(*text, nullptr, false);
   if (!names.is_array()) return false;  // damaged: what is known stands
   std::set<std::string> offline;
   for (const json& name : names) {
--- a/src/net/record_file.cpp
+++ b/src/net/record_file.cpp
@@ -6,8 +6,8 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
-#include <fstream>
-#include <sstream>
+
+#include "net/kept_file.h"
 
 namespace lemonchute::net {
 namespace {
@@ -44,7 +44,14 @@
 RecordFile::RecordFile(const std::string& folder, Fails fails) : fails_(std::move(fails)) {
   if (folder.empty()) return;
   path_ = folder + "/lb-config.json";
-  lock_ = open((folder + "/lb-config.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  lock_path_ = folder + "/lb-config.lock";
+  OpenLock();
+}
+
+// Where it can't be had now, it is asked for again with each lock: without it two processes might write at
+// once.
+void RecordFile::OpenLock() {
+  if (lock_ < 0) lock_ = open(lock_path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
 }
 
 RecordFile::~RecordFile() {
@@ -52,6 +59,7 @@
 }
 
 bool RecordFile::TryLock() {
+  if (kept()) OpenLock();
   if (lock_ < 0) return true;  // nothing can be written there by anybody
   struct flock lock = ByteLock(0, 1);
   return fcntl(lock_, F_OFD_SETLK, &lock) == 0 || (errno != EAGAIN && errno != EACCES);
@@ -66,12 +74,15 @@
 
 std::optional<config::State> RecordFile::Read() {
   if (!kept()) return std::nullopt;
-  seen_ = StampOf(path_);
-  if (seen_.bytes == 0 || seen_.bytes > kMostRecord) return std::nullopt;
-  std::ifstream in(path_, std::ios::binary);
-  std::stringstream text;
-  if (!in || !(text << in.rdbuf())) return std::nullopt;
-  return config::ReadRecord(text.str());
+  FileStamp now = StampOf(path_);
+  if (now.bytes > 0 && now.bytes <= kMostRecord) {
+    std::optional<std::string> text = ReadKeptFile(path_);
+    if (!text) return std::nullopt;  // not seen: it is read again with the next look at it
+    seen_ = now;
+    return config::ReadRecord(*text);
+  }
+  seen_ = now;
+  return std::nullopt;
 }
 
 std::string RecordFile::Write(const config::State& state) {
--- a/src/net/record_file.h
+++ b/src/net/record_file.h
@@ -34,7 +34,9 @@
   std::string Write(const config::State& state);
 
  private:
-  std::string path_;
+  void OpenLock();
+
+  std::string path_, lock_path_;
   int lock_ = -1;
   FileStamp seen_;
   Fails fails_;
--- a/src/net/sibling.cpp
+++ b/src/net/sibling.cpp
@@ -14,7 +14,7 @@
 
 Sibling::Sibling(const std::string& folder) {
   if (folder.empty()) return;
-  file_ = open((folder + "/lb-processes").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  path_ = folder + "/lb-processes";
   Hold();
 }
 
@@ -22,7 +22,9 @@
   if (file_ >= 0) close(file_);
 }
 
+// A file that can't be opened now may be had later, and the other process may hold its byte all the same.
 void Sibling::Hold() {
+  if (file_ < 0 && !path_.empty()) file_ = open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
   for (off_t i = 0; i < kMostProcesses && file_ >= 0 && !holding_; ++i) {
     struct flock lock = ByteLock(i, 1);
     holding_ = fcntl(file_, F_OFD_SETLK, &lock) == 0;
@@ -30,8 +32,8 @@
 }
 
 bool Sibling::Alive() {
-  if (file_ < 0) return false;
   Hold();
+  if (file_ < 0) return false;
   struct flock lock = ByteLock(0, kMostProcesses);
   return fcntl(file_, F_OFD_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
 }
--- a/src/net/sibling.h
+++ b/src/net/sibling.h
@@ -19,6 +19,7 @@
  private:
   void Hold();
 
+  std::string path_;
   int file_ = -1;
   bool holding_ = false;
 };
