A later request's head has 2.5 s, as the first one's

Cause: kHead was 4 s, over the 3 s in which a client that stops in the middle of a request and stays is owed its error or close. Slow but honest clients had 2.5 s for a first head all along. Closing.AClientThatStops... passes (2.5 s; before 4.0 s).

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -19,13 +19,15 @@
 constexpr auto kYield =
     std::chrono::milliseconds(100);                  // for one that rests, to see the end where room is short
 constexpr auto kPartial = std::chrono::seconds(10);  // for an answer, or a piece of one, to be read
-constexpr auto kHead = std::chrono::milliseconds(4000);  // for the head of a further request
+
 // For a small body to become whole, and for a large one to bring kLeastBrought more.
 constexpr auto kBody = std::chrono::milliseconds(2500);
 constexpr size_t kLeastBrought = 16 * 1024;
 // For the head of a connection's first request: whoever connects and sends nothing, or something
 // that never becomes a request, is owed a close within 3 s.
 constexpr auto kFirst = std::chrono::milliseconds(2500);
+// For the head of a later request, from its first byte: whoever stops in its middle is owed the same.
+constexpr auto kHead = kFirst;
 constexpr size_t kMostLingerBytes = kMostStreamed;
 constexpr size_t kMakeRoom = 8;  // at the limit, one idle connection of so many makes room
 
