--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -512,6 +512,24 @@
   EXPECT_LT(Clock::now() - stopped, std::chrono::seconds(3));
 }
 
+// The same of one that stops in a body that is passed on, whatever it brought just before.
+TEST(Closing, AClientThatStopsInALongBodyIsClosedWithinThreeSeconds) {
+  Server backend([](Wire& wire) {
+    while (wire.More()) {
+    }
+  });
+  Site site(json::array({Entry("s1", backend.port())}));
+  auto client = site.gateway->Connect();
+  std::string request = Request("save-scenario", 1, 1400, "", std::string(200000, 'y'));
+  client->Write(request.substr(0, 70000));  // more than is held: it is passed on from here
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  client->Write(request.substr(70000, 40000));
+  auto stopped = Clock::now();
+  while (!client->Ended()) {
+  }
+  EXPECT_LT(Clock::now() - stopped, std::chrono::seconds(3));
+}
+
 // Another customer's settings: a plan that has neither a rate nor a cap is within its quota.
 TEST(Settings, APlanWithoutAQuotaIsServed) {
   Backend backend(Says(Ok("x")));
