A body that stops is noticed 2.5 s after its last byte

Cause: the rate of a body was looked at every 2.5 s and nothing in between, so bytes that came just after one look let the next one pass. The time since the last byte, or since more was asked for, is now looked at every 0.25 s as well; the rate is held as before.

--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -23,6 +23,7 @@
 // For a small body to become whole, and for a large one to bring kLeastBrought more.
 constexpr auto kBody = std::chrono::milliseconds(2500);
 constexpr size_t kLeastBrought = 16 * 1024;
+constexpr auto kUploadLook = std::chrono::milliseconds(250);
 // For the head of a connection's first request: whoever connects and sends nothing, or something
 // that never becomes a request, is owed a close within 3 s.
 constexpr auto kFirst = std::chrono::milliseconds(2500);
@@ -72,6 +73,7 @@
   void Pull(OnPiece on_piece) {
     if (!uploading_) return;
     pull_ = std::move(on_piece);
+    came_at_ = Clock::now();
     Continue();
     ParseUpload();
     Read();
@@ -216,6 +218,7 @@
       Parse();
     } else if (uploading_) {
       brought_ += n;
+      came_at_ = Clock::now();
       ParseUpload();
     }
   }
@@ -297,16 +300,27 @@
     std::exchange(pull_, nullptr)(std::move(piece), last);
   }
 
-  // While more is asked for, an upload must come on at a rate; while the backend is behind it may rest.
+  // While more is asked for, an upload must come on at a rate, and must not stop; while the backend is behind
+  // it may rest.
   void LimitUpload() {
-    bool asked = pull_ != nullptr;
     brought_ = 0;
-    timer_.Start(kBody, [self = shared_from_this(), this, asked] {
+    rate_due_ = Clock::now() + kBody;
+    rate_asked_ = pull_ != nullptr;
+    WatchUpload();
+  }
+
+  void WatchUpload() {
+    timer_.Start(kUploadLook, [self = shared_from_this(), this] {
       if (state_ != State::kHeld || !uploading_) return;
-      if (asked && pull_ && brought_ < kLeastBrought) return Close(CloseReason::kSlowBody);
-      LimitUpload();
+      auto now = Clock::now();
+      bool stopped = pull_ && now >= came_at_ + kBody;
+      bool due = now >= rate_due_;
+      bool slow = due && rate_asked_ && pull_ && brought_ < kLeastBrought;
+      if (stopped || slow) return Close(CloseReason::kSlowBody);
+      due ? LimitUpload() : WatchUpload();
     });
   }
+
   void LimitReading(std::chrono::milliseconds most, CloseReason reason) {
     timed_ = true;
     timer_.Start(most, [self = shared_from_this(), this, reason] {
@@ -449,9 +463,12 @@
   OneShotTimer timer_;  // of a request that is not whole, then of lingering
   boost::beast::flat_buffer buffer_{kMostAhead + kReadChunk};
   std::optional<http::request_parser<http::buffer_body>> parser_;
-  std::string body_;    // of the request, as far as it is not handed on
-  OnPiece pull_;        // who waits for the next piece of an upload
-  size_t brought_ = 0;  // bytes of an upload since its limit was last looked at
+  std::string body_;            // of the request, as far as it is not handed on
+  OnPiece pull_;                // who waits for the next piece of an upload
+  size_t brought_ = 0;          // bytes of an upload since its rate was last looked at
+  Clock::time_point rate_due_;  // when it is looked at next
+  bool rate_asked_ = false;     // more was asked for when that time began
+  Clock::time_point came_at_;   // when more was asked for, or the last of it came
   bool uploading_ = false, in_body_ = false;
   std::optional<std::list<uint64_t>::iterator> idle_at_;
   std::string message_, unsent_;  // being written; of a stream, still to be
