Windows and the grace of a drain cover a process that is held up for 0.15 s

Cause: a window's end had twice the resolution (4 ms) and the drain's grace 0.1 s for what the standing test puts at 0.15 s between reading the clock and writing. A repeat now keeps 0.15 s of its window, a send to a draining backend 0.2 s of the grace (0.15 s, and 0.05 s for the list's way).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -17,6 +17,8 @@
 constexpr double kBatchShare = 0.25;    // of the tokens left, over the entries: what may be sent untold
 constexpr double kFlushWindows = 0.25;  // windows after which untold units are told anyway
 constexpr double kSlackShare = 0.95;    // of a ceiling's slack that is used: the rest is for rounding
+constexpr double kHeldUpS =
+    0.15;                      // that a process may stand still between its clock and a write (standing test)
 constexpr double kEpochS = 4;  // s after which attempts out are counted anew: a dead gateway's are gone then
 constexpr double kIdleWindows = 3, kIdleS = 10;  // idle customers are dropped after both
 constexpr double kGapMaxS = 0.3;      // s between a gateway's calls to a counter that fails, but no more
@@ -869,7 +871,7 @@
 
   // By when a repeat of a guarded request must have begun.
   double WindowEnd(const Live& l) const {
-    return l.ran_at + s_.classes[l.r.cls].window_s - 2 * s_.resolution_s;
+    return l.ran_at + s_.classes[l.r.cls].window_s - kHeldUpS - 2 * s_.resolution_s;
   }
 
   bool TryAgain(Live* l, double now, Actions* out) {
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -21,8 +21,8 @@
 constexpr auto kHeldUp = std::chrono::milliseconds(150);
 constexpr auto kRuleSlack = std::chrono::milliseconds(50);
 constexpr double kToldSlackS = 0.15;
-// Off the drain's grace: the time a write may take to come out on a busy core.
-constexpr double kGraceMarginS = 0.1;
+// Off the drain's grace: a process that is held up, and the time that a list takes from discovery to here.
+constexpr double kGraceMarginS = std::chrono::duration<double>(kHeldUp).count() + 0.05;
 // Before a connection is used again. A backend may send a second answer some milliseconds after the first:
 // one that comes upon a further request would be taken for that one's. Over twice the latest that was seen; a
 // longer rest costs more new connections.
