--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -21,6 +21,7 @@
 constexpr auto kHeldUp = std::chrono::milliseconds(150);
 constexpr auto kRuleSlack = std::chrono::milliseconds(50);
 constexpr double kToldSlackS = 0.15;
+constexpr double kToldMarginS = 0.01;  // off the time told: the slack is used up by being held up alone
 // Off the drain's grace: a process that is held up, and the time that a list takes from discovery to here.
 constexpr double kGraceMarginS = std::chrono::duration<double>(kHeldUp).count() + 0.05;
 // Before a connection is used again. A backend may send a second answer some milliseconds after the first:
@@ -219,7 +220,8 @@
     wrote_at_ = Clock::now();
     double told_s = most_timeout_s_;
     if (timeout_at_ != std::string::npos) {
-      told_s = std::min(std::chrono::duration<double>(give_up_ - wrote_at_).count(), most_timeout_s_);
+      told_s = std::min(std::chrono::duration<double>(give_up_ - wrote_at_).count() - kToldMarginS,
+                        most_timeout_s_);
       message_.insert(timeout_at_, std::to_string(std::max(1L, static_cast<long>(told_s * 1000))));
     }
     WaitUntil(by_pieces_ ? std::min(give_up_, wrote_at_ + kStall) : give_up_);
