--- a/lab/experiment/faults.h
+++ b/lab/experiment/faults.h
@@ -40,9 +40,9 @@
   PlanWish wish;
   int jobs = 1;     // plays side by side
   std::string lab;  // the program that plays real days, each in a process of its own; empty: in virtual time
-  std::string gateway;  // of real days
+  std::string gateway;         // of real days
   bool system_faults = false;  // real days alone
-  std::string folder;   // where plans that failed are written, shrunk; empty: nowhere
+  std::string folder;          // where plans that failed are written, shrunk; empty: nowhere
   double recover_s =
       0;  // a play that has not recovered so long after its last trouble has failed too; 0: any
   std::function<void(double)> progress;
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -427,7 +427,8 @@
     int unread = 0;
     for (std::string line; std::getline(in, line);) {
       // A process that the lab has stopped for longer than the rules allow for can't keep times.
-      bool of_times = line.find("_in_time: ") != std::string::npos || line.find("time_told: ") != std::string::npos;
+      bool of_times =
+          line.find("_in_time: ") != std::string::npos || line.find("time_told: ") != std::string::npos;
       if (line.rfind(kViolated, 0) == 0 && !(of_times && members_[static_cast<size_t>(g)].held_up))
         world_.judge.Broke("invariant", world_.Now(), UINT32_MAX, GatewayName(g) + ": " + line);
       if (auto fact = ReadSaying(line, g, world_.schedule.ClockAtStart(), &fault))
--- a/lab/play/real/fleet.h
+++ b/lab/play/real/fleet.h
@@ -68,7 +68,7 @@
     int launches = 0, ops = 0, stops = 0;
     Micros went_on = 0;     // after its latest stop, or ready after its latest start; kNever: not yet
     int claims = -1;        // the number that it says is its own; -1: the right one
-    bool held_up = false;  // the lab has stopped it or slowed it down
+    bool held_up = false;   // the lab has stopped it or slowed it down
     uint64_t squeezes = 0;  // the newest squeeze counts
     std::unique_ptr<StateFolder> state;
     size_t told_ended = 0;
--- a/lab/play/real/real_day.h
+++ b/lab/play/real/real_day.h
@@ -18,9 +18,9 @@
   std::string folder;                        // for logs and configurations; empty: one that ends with the day
   // Preloaded into every gateway, with system calls that fail as DrawSystemFaults has it; empty: none.
   std::string faults_library;
-  bool visitors = false;                     // backends serve requests that no client of the lab sent
-  bool null_run = false;                     // no gateway between: what the lab itself costs
-  History* history = nullptr;                // takes the fleet's history, in order
+  bool visitors = false;       // backends serve requests that no client of the lab sent
+  bool null_run = false;       // no gateway between: what the lab itself costs
+  History* history = nullptr;  // takes the fleet's history, in order
   // Once all gateways are ready, and each second then: what to show.
   std::function<void(const nlohmann::json& now)> watch;
 };
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -203,7 +203,8 @@
   std::thread accepting_;
 };
 
-// A listener whose connections do not come up until Free: its queue is full, and what asks to connect asks again.
+// A listener whose connections do not come up until Free: its queue is full, and what asks to connect asks
+// again.
 class LateListener {
  public:
   LateListener() {
@@ -325,16 +326,18 @@
             std::unique_lock lock(mutex_);
             if (after >= 0) watches_[after].Add();
             at = ask.head.find("wait_ms=");
-            auto until = std::chrono::steady_clock::now() +
-                         std::chrono::milliseconds(
-                             at == std::string::npos ? 0 : std::atol(ask.head.c_str() + at + 8));
+            auto until =
+                std::chrono::steady_clock::now() +
+                std::chrono::milliseconds(at == std::string::npos ? 0 : std::atol(ask.head.c_str() + at + 8));
             changed_.wait_until(lock, until, [&] { return stopping_ || (!silent_ && index_ > after); });
             changed_.wait(lock, [&] { return stopping_ || !silent_; });
             if (stopping_) return;
             bool news = index_ > after;
             std::string text = json{{"index", index_},
                                     {"snapshot", news && (snapshot_ || after < 0)},
-                                    {"endpoints", !news ? json::array() : after < 0 ? whole_ : entries_}}
+                                    {"endpoints", !news       ? json::array()
+                                                  : after < 0 ? whole_
+                                                              : entries_}}
                                    .dump();
             if (!garbage_.empty()) text = std::exchange(garbage_, "");
             wire.Write(Ok(text));
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -422,8 +422,8 @@
 // Limits, zones and plans take hold at once, and a customer of a dropped plan goes on under another.
 TEST(Reload, LimitsZonesAndPlansAreLive) {
   // Which one is quicker is learned as answers come, so that a busy machine might outweigh the zone. Of each
-  // further request's far ones one at least has not answered yet, and costs less than any near one whatever that
-  // has been seen to take.
+  // further request's far ones one at least has not answered yet, and costs less than any near one whatever
+  // that has been seen to take.
   constexpr int kFar = 12;
   Backend near(Says(Ok("near"))), far(Says(Ok("far")));
   json entries = json::array({Entry("s1", near.port())});
