Reading a client's call is a module of its own

Taken out of gateway.cpp as it was: net/client_call has what a message asks for, checked against the configuration.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -20,7 +20,6 @@
 
 // Off a client's time: what the way back and a busy core may take, so that the last byte is out in time.
 constexpr double kMarginS = 0.01, kMarginShare = 0.1;
-constexpr double kMostTimeoutS = 600;
 constexpr double kLeastUploadRate = 64 * 1024;  // bytes a second that an honest client brings
 // Descriptors that are neither a client's nor a backend's: log, epoll, timer, listener, counter, discovery.
 constexpr int kOwnSockets = 48;
@@ -41,46 +40,6 @@
 constexpr double kReadyWithinS = 10;
 constexpr double kCloseEveryS = 0.5;  // drained: connections that have gone idle or come idle are looked for
 
-// A field that may be written in several lines, as one (RFC 9110, 5.2).
-std::string Lines(const ClientMessage& message, const char* name, const char* between) {
-  std::string all;
-  auto [from, to] = message.equal_range(name);
-  for (auto it = from; it != to; ++it) all.append(all.empty() ? "" : between).append(View(it->value()));
-  return all;
-}
-
-// The client's whole patience: a whole number of milliseconds, said once. More digits than fit are a long
-// time and not a fault; everything else that is no positive number is one.
-std::optional<double> ReadTimeout(const ClientMessage& message) {
-  constexpr const char* kName = "Request-Timeout-Ms";
-  if (message.count(kName) != 1) return std::nullopt;
-  std::string_view text = Trim(View(message[kName]));
-  if (text.empty() || text.find_first_not_of("0123456789") != std::string_view::npos) return std::nullopt;
-  uint64_t ms = 0;
-  if (!Number(text, &ms)) return kMostTimeoutS;
-  if (ms == 0) return std::nullopt;
-  return std::min(static_cast<double>(ms) / 1000, kMostTimeoutS);
-}
-
-// http://host/path?query is /path?query, which every server must take (RFC 9112, 3.2.2).
-std::string_view OriginForm(std::string_view target) {
-  constexpr std::string_view kScheme = "http://";
-  if (!boost::beast::iequals({target.data(), std::min(target.size(), kScheme.size())},
-                             {kScheme.data(), kScheme.size()})) {
-    return target;
-  }
-  size_t path = target.find('/', kScheme.size());
-  return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
-}
-
-int Position(const std::vector<std::string>& names, std::string_view name) {
-  if (name.empty()) return -1;
-  for (size_t i = 0; i < names.size(); ++i) {
-    if (names[i] == name) return static_cast<int>(i);
-  }
-  return -1;
-}
-
 std::string Chunk(const std::string& piece) {
   char size[24];
   int n = std::snprintf(size, sizeof(size), "%zx\r\n", piece.size());
@@ -89,39 +48,6 @@
 
 }  // namespace
 
-ClientCall ReadCall(const ClientMessage& message, const Config& config) {
-  ClientCall call;
-  call.status = 400;
-  std::string_view target = OriginForm(View(message.target()));
-  if (target.empty() || target.front() != '/') return call;
-  lemonchute::policy::Request& r = call.request;
-  std::string_view path = target.substr(1, std::min(target.find_first_of("/?#", 1), target.size()) - 1);
-  r.cls = Position(config.site.classes, config::PlainName(Unescaped(path)));
-  r.plan = Position(config.site.plans, config::PlainName(View(message["X-Tier"])));
-  if (r.cls < 0 || r.plan < 0) return call;
-  if (View(message["Request-Id"]).empty()) return call;
-  std::string cookies = Lines(message, "Cookie", "; ");
-  auto customer = Part(cookies, ';', "client");
-  if (customer && customer->size() > 1 && customer->front() == '"' && customer->back() == '"') {
-    customer = customer->substr(1, customer->size() - 2);
-  }
-  if (!customer || customer->size() > 16 || !Number(*customer, &r.customer, 16)) return call;
-  auto timeout_s = ReadTimeout(message);
-  if (!timeout_s) return call;
-  // Nobody waits for longer than the class lets clients wait, whatever a client says.
-  call.timeout_s = std::min(*timeout_s, config.settings.classes[static_cast<size_t>(r.cls)].deadline_s);
-  std::string terms = Lines(message, "X-Call-Terms", ", ");
-  auto units = Part(terms, ',', "units"), spread = Part(terms, ',', "spread");
-  if (!units || !Number(*units, &r.units) || !std::isfinite(r.units) || r.units <= 0) return call;
-  if (!spread || !Number(*spread, &r.entries) || !std::isfinite(r.entries) || r.entries < 1) return call;
-  Effect effect = config.settings.classes[static_cast<size_t>(r.cls)].effect;
-  if (effect == Effect::kGuarded && View(message["Idempotency-Key"]).empty()) return call;
-  call.status = 405;
-  if (message.method() != (effect == Effect::kFree ? http::verb::get : http::verb::post)) return call;
-  call.status = 0;
-  return call;
-}
-
 Gateway::Gateway(asio::io_context& io, const Config& config, ConfigKeeper* keeper)
     : io_(io),
       keeper_(keeper),
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -13,6 +13,7 @@
 
 #include "balance.h"
 #include "net/backend_pool.h"
+#include "net/client_call.h"
 #include "net/client_server.h"
 #include "net/config.h"
 #include "net/config_keeper.h"
@@ -29,14 +30,6 @@
 
 namespace lemonchute::net {
 
-// What a client's message says; `status` is 0 where it is sound, else the answer to give.
-struct ClientCall {
-  int status = 0;
-  lemonchute::policy::Request request;
-  double timeout_s = 0;
-};
-ClientCall ReadCall(const ClientMessage& message, const Config& config);
-
 class Gateway {
  public:
   Gateway(asio::io_context& io, const Config& config, ConfigKeeper* keeper);
