--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -15,7 +15,7 @@
 
 // After a shortage of descriptors or memory: rests that double from the first to the last. Requests with
 // little time wait meanwhile; the rests guard against a spinning loop.
-constexpr auto kFirstRest = std::chrono::milliseconds(2), kLastRest = std::chrono::milliseconds(50);
+constexpr auto kFirstRest = std::chrono::milliseconds(2), kLastRest = std::chrono::milliseconds(10);
 // Connections that failed by themselves, one after the other, until accept is given a rest as well.
 constexpr int kMostFailedAtOnce = 16;
 
