--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -144,6 +144,21 @@
   }
 }
 
+// Two dozen processes whose own system calls fail as well, judged by the rules and by their own invariants.
+TEST(Fleet, DrawnPlansWithFailingSystemCallsKeepTheRulesAndInvariants) {
+  FaultHunt hunt;
+  hunt.base = Shipped("faults",
+                      {"day.length_s=14", "day.settle_s=4", "fleet.gateways=8", "rules.answer_grace_ms=500"});
+  hunt.base.expect = {};
+  hunt.wish.events = 6, hunt.wish.quiet_s = 4, hunt.wish.real = true;
+  hunt.first_seed = 201, hunt.last_seed = 203, hunt.jobs = 3;
+  hunt.lab = LAB_PROGRAM, hunt.gateway = LAB_GATEWAY, hunt.system_faults = true;
+  for (const json& day : Hunt(hunt)) {
+    EXPECT_EQ(day["failed"], "") << day["seed"] << ": " << day["report"]["breaches"].dump();
+    EXPECT_GT(day["report"]["counts"]["served"], 500);
+  }
+}
+
 // Gateways that speak to one another, with a period of 0.1 s so that a bound of 4 s is that of 14 s at the
 // fleet's pace.
 const std::vector<std::string> kQuickMembers = {"day.length_s=16", "day.settle_s=2", "load.use=0.2",
--- a/src/net/kept_file.cpp
+++ b/src/net/kept_file.cpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <thread>
 
+#include "net/descriptor.h"
+
 namespace lemonchute::net {
 namespace {
 
@@ -15,20 +17,6 @@
 constexpr int kTries = 5;
 constexpr auto kBetweenTries = std::chrono::milliseconds(2);
 
-class Descriptor {
- public:
-  explicit Descriptor(int fd) : fd_(fd) {}
-  ~Descriptor() {
-    if (fd_ >= 0) close(fd_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  int get() const { return fd_; }
-
- private:
-  int fd_;
-};
-
 std::optional<std::string> ReadOnce(const std::string& path) {
   Descriptor file(open(path.c_str(), O_RDONLY | O_CLOEXEC));
   if (file.get() < 0) return std::nullopt;
--- a/src/net/record_file.cpp
+++ b/src/net/record_file.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstring>
 
+#include "net/descriptor.h"
 #include "net/kept_file.h"
 
 namespace lemonchute::net {
@@ -15,20 +16,6 @@
 // A record is a process's own file of bounded parts; one that is longer is somebody else's.
 constexpr int64_t kMostRecord = 4 * static_cast<int64_t>(config::kMostFile);
 
-class Descriptor {
- public:
-  explicit Descriptor(int fd) : fd_(fd) {}
-  ~Descriptor() {
-    if (fd_ >= 0) close(fd_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  int get() const { return fd_; }
-
- private:
-  int fd_;
-};
-
 bool WriteWhole(int fd, std::string_view text) {
   while (!text.empty()) {
     ssize_t n = write(fd, text.data(), text.size());
--- a/tests/system_fault_test.cpp
+++ b/tests/system_fault_test.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 
 #include "gateway_site.h"
+#include "net/send_guard.h"
+#include "net/start_times.h"
 
 namespace {
 
@@ -115,6 +117,55 @@
   }
 }
 
+// Each reason holds an attempt back, and nothing else does.
+TEST(SendGuard, NamesWhyAnAttemptMayNotGoOut) {
+  using namespace lemonchute::net;  // NOLINT
+  using lemonchute::policy::Effect;
+  SendFacts sound;
+  sound.now = Clock::now();
+  sound.deadline = sound.now + std::chrono::seconds(1);
+  auto with = [&](auto change) {
+    SendFacts facts = sound;
+    change(facts);
+    return CheckSend(facts);
+  };
+  EXPECT_EQ(CheckSend(sound), SendVerdict::kSend);
+  EXPECT_EQ(with([](SendFacts& f) { f.answered = true; }), SendVerdict::kAnswered);
+  EXPECT_EQ(with([](SendFacts& f) { f.client_present = false; }), SendVerdict::kClientGone);
+  EXPECT_EQ(with([](SendFacts& f) { f.now = f.deadline; }), SendVerdict::kTimeOver);
+  EXPECT_EQ(with([](SendFacts& f) { f.body_held = false; }), SendVerdict::kBodyGone);
+  EXPECT_EQ(with([](SendFacts& f) { f.attempts_left = false; }), SendVerdict::kTooManyAttempts);
+  EXPECT_EQ(with([](SendFacts& f) { f.other_out = true; }), SendVerdict::kOtherOut);
+  EXPECT_EQ(with([](SendFacts& f) { f.other_out = f.parallel = true; }), SendVerdict::kSend);
+  for (Effect effect : {Effect::kGuarded, Effect::kSingleShot})
+    EXPECT_EQ(with([&](SendFacts& f) { f.other_out = f.parallel = true, f.effect = effect; }),
+              SendVerdict::kOtherOut);
+  EXPECT_EQ(with([](SendFacts& f) { f.may_have_run = true, f.effect = Effect::kSingleShot; }),
+            SendVerdict::kUnsafeRepeat);
+  EXPECT_EQ(with([](SendFacts& f) { f.may_have_run = true, f.effect = Effect::kGuarded; }),
+            SendVerdict::kSend);
+}
+
+// A start that is told late is as old as it is; one that can't be so old counts as just told, and keeps its
+// time.
+TEST(StartTimes, AreHeldAndNoOlderThanWhatCanHaveBeenKeptBack) {
+  lemonchute::net::StartTimes times;
+  times.Listing(100, 1000, false);
+  EXPECT_EQ(times.Started(1, 0), 0);
+  EXPECT_EQ(times.Started(2, 990), 90);  // of the list that a process starts with
+  times.Listing(110, 1010, true);
+  times.Listed();
+  times.Listing(112, 4612, true);  // the wall clock was stepped by an hour
+  EXPECT_EQ(times.Started(2, 990), 90);
+  EXPECT_EQ(times.Started(3, 1011), 112);  // it seems an hour old
+  EXPECT_EQ(times.Started(4, 4605), 105);
+  EXPECT_EQ(times.Started(5, 9000), 112);  // not in the future
+  times.Listed();
+  times.Listing(130, 4630, true);
+  EXPECT_EQ(times.Started(3, 1011), 112);
+  EXPECT_EQ(times.Started(6, 4610), 110);  // discovery was away
+}
+
 // A backend's start is told by the wall clock, which may be stepped, here or on all machines: what has just
 // been told of a running watch has just started, and is warm when that time is over.
 struct Step {
