--- a/lab/shim/system_call_faults.cpp
+++ b/lab/shim/system_call_faults.cpp
@@ -1,6 +1,5 @@
 // A library for LD_PRELOAD that makes system calls of one process fail in documented ways. What fails, and
-// when, is read from LEMONCHUTE_FAULTS; docs/LAB.md has the form. Without that variable every call goes
-// through untouched.
+// when, is read from LEMONCHUTE_FAULTS. Without that variable every call goes through untouched.
 //
 //   seed=7;send.short=0.05;accept.ECONNABORTED=#2;fsync.EIO=1@5-8;clock.step=3600@4;send.hold=#3
 //
@@ -246,7 +245,11 @@
   return false;
 }
 
-// The bytes of a vector, as one buffer: the callers here send and receive a single one nearly always.
+// The same for a transfer, which has rules of its own where this process has made the connection.
+bool TransferFails(std::string_view call, std::string_view outgoing_call, int fd, size_t* bytes) {
+  return Fails(call, fd, bytes) || (IsOutgoing(fd) && Fails(outgoing_call, fd, bytes));
+}
+
 size_t Total(const msghdr* message) {
   size_t total = 0;
   for (size_t i = 0; i < message->msg_iovlen; ++i) total += message->msg_iov[i].iov_len;
@@ -296,7 +299,7 @@
 
 ssize_t send(int fd, const void* data, size_t bytes, int flags) {
   static const auto next = Next<ssize_t (*)(int, const void*, size_t, int)>("send");
-  if (Fails("send", fd, &bytes) || (IsOutgoing(fd) && Fails("send-out", fd, &bytes))) return -1;
+  if (TransferFails("send", "send-out", fd, &bytes)) return -1;
   return next(fd, data, bytes, flags);
 }
 
@@ -304,14 +307,14 @@
   static const auto next = Next<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
   if (!IsTcp(fd)) return next(fd, message, flags);
   size_t total = Total(message), bytes = total;
-  if (Fails("send", fd, &bytes) || (IsOutgoing(fd) && Fails("send-out", fd, &bytes))) return -1;
+  if (TransferFails("send", "send-out", fd, &bytes)) return -1;
   if (bytes == total || message->msg_iovlen == 0) return next(fd, message, flags);
   return send(fd, message->msg_iov[0].iov_base, std::min(bytes, message->msg_iov[0].iov_len), flags);
 }
 
 ssize_t recv(int fd, void* data, size_t bytes, int flags) {
   static const auto next = Next<ssize_t (*)(int, void*, size_t, int)>("recv");
-  if (Fails("recv", fd, &bytes) || (IsOutgoing(fd) && Fails("recv-out", fd, &bytes))) return -1;
+  if (TransferFails("recv", "recv-out", fd, &bytes)) return -1;
   return next(fd, data, bytes, flags);
 }
 
@@ -319,7 +322,7 @@
   static const auto next = Next<ssize_t (*)(int, msghdr*, int)>("recvmsg");
   if (!IsTcp(fd) || message->msg_iovlen == 0) return next(fd, message, flags);
   size_t bytes = message->msg_iov[0].iov_len;
-  if (Fails("recv", fd, &bytes) || (IsOutgoing(fd) && Fails("recv-out", fd, &bytes))) return -1;
+  if (TransferFails("recv", "recv-out", fd, &bytes)) return -1;
   if (bytes == message->msg_iov[0].iov_len) return next(fd, message, flags);
   static const auto plain = Next<ssize_t (*)(int, void*, size_t, int)>("recv");
   return plain(fd, message->msg_iov[0].iov_base, bytes, flags);
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -1,6 +1,5 @@
 #include "net/backend_pool.h"
 
-#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -37,23 +36,6 @@
 constexpr auto kFirstConnectRest = std::chrono::milliseconds(2),
                kLastConnectRest = std::chrono::milliseconds(50);
 
-// Whether a connect has failed for want of something of this machine's, and not on account of the other side
-// (connect(2), socket(2)).
-bool IsShortage(int error) {
-  switch (error) {
-    case EADDRNOTAVAIL:
-    case EAGAIN:
-    case EINTR:
-    case EMFILE:
-    case ENETDOWN:
-    case ENETUNREACH:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM: return true;
-    default: return false;
-  }
-}
-
 }  // namespace
 
 struct BackendPool::Backend {
@@ -237,10 +219,10 @@
       return "attempt=" + std::to_string(attempt_) + " backend=" + std::to_string(backend_);
     };
     bool in_time = now < begin_by_ + kHeldUp + kRuleSlack && pool_->MayStillArrive(backend_, now);
-    if (!in_time) invariants.Check(Invariant::kSentInTime, false, ids());
+    if (!in_time) invariants.Violated(Invariant::kSentInTime, ids());
     double left_s = std::chrono::duration<double>(give_up_ - now).count();
     if (!by_pieces_ && told_s > std::max(0.001, left_s) + kToldSlackS)
-      invariants.Check(Invariant::kTimeTold, false, ids() + " told_s=" + std::to_string(told_s));
+      invariants.Violated(Invariant::kTimeTold, ids() + " told_s=" + std::to_string(told_s));
   }
 
   void Write() {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -209,7 +209,6 @@
   held.config = config_;
   held.cls = config_->site.classes[static_cast<size_t>(call.request.cls)];
   held.effect = config_->settings.classes[static_cast<size_t>(call.request.cls)].effect;
-  held.free = held.effect == Effect::kFree;
   held.client_deadline = Clock::now() + Seconds(call.timeout_s);
   held.request_id = View(message["Request-Id"]);
   log_.Note(held.request_id, "taken", "connection=%llu class=%s left_s=%.3f",
@@ -301,9 +300,8 @@
   if (verdict == SendVerdict::kSend) return verdict;
   counters_.held_back.Add(verdict);
   if (verdict == SendVerdict::kUnsafeRepeat || verdict == SendVerdict::kOtherOut)
-    counters_.invariants.Check(
-        Invariant::kSafeRepeat, false,
-        "request=" + held.request_id + " attempt=" + std::to_string(attempt) + " " + Name(verdict));
+    counters_.invariants.Violated(Invariant::kSafeRepeat, "request=" + held.request_id + " attempt=" +
+                                                              std::to_string(attempt) + " " + Name(verdict));
   // Posted: the caller may be in the middle of its actions.
   if (verdict == SendVerdict::kClientGone)
     asio::post(io_, [this, connection = held.connection] { server_.ClientLeft(connection); });
@@ -412,7 +410,7 @@
   log_.Note(held.request_id, "answered", "status=%d", answer.status);
   if (held.streaming < 0) {
     bool in_time = Clock::now() <= held.client_deadline + Seconds(kLateAnswerS);
-    if (!in_time) counters_.invariants.Check(Invariant::kAnsweredInTime, false, "request=" + held.request_id);
+    if (!in_time) counters_.invariants.Violated(Invariant::kAnsweredInTime, "request=" + held.request_id);
   }
   Counters::PerClass& count = counters_.classes[held.cls];
   bool shed = answer.status == 429 || answer.status == 503;
@@ -454,7 +452,7 @@
 void Gateway::GiveUp(uint32_t id) {
   const Held& held = held_.at(id);
   Answer answer;
-  answer.status = held.free || (!held.may_have_run && !held.Out()) ? 503 : 504;
+  answer.status = held.effect == Effect::kFree || (!held.may_have_run && !held.Out()) ? 503 : 504;
   Finish(id, std::move(answer));
   Tell([&](lemonchute::policy::Balancer& b, double now, lemonchute::policy::Actions* out_) {
     b.OnAbandoned(now, id, out_);
@@ -474,8 +472,8 @@
   bool by_client = reason == CloseReason::kClientEnded || reason == CloseReason::kSlowBody ||
                    reason == CloseReason::kBrokenBody || reason == CloseReason::kSlowReader;
   if (!by_client)
-    counters_.invariants.Check(Invariant::kAnsweredBeforeClose, false,
-                               "request=" + request_id + " reason=" + Name(reason));
+    counters_.invariants.Violated(Invariant::kAnsweredBeforeClose,
+                                  "request=" + request_id + " reason=" + Name(reason));
   held_.at(id).answered = true;
   Withdraw(id);
   if (int streaming = held_.at(id).streaming; streaming >= 0) CancelAttempt(id, streaming, 0);
@@ -615,8 +613,8 @@
   if (taking_) return;
   taking_ = true;
   double took_s = std::chrono::duration<double>(Clock::now() - started_at_).count();
-  counters_.invariants.Check(Invariant::kReadyInTime, took_s <= kReadyWithinS || two_,
-                             "took_s=" + std::to_string(took_s));
+  if (took_s > kReadyWithinS && !two_)
+    counters_.invariants.Violated(Invariant::kReadyInTime, "took_s=" + std::to_string(took_s));
   server_.Accept();
 }
 
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -65,7 +65,7 @@
     bool uploading = false, chunked = false;  // the body is passed on as it comes; in chunks
     bool spent = false;                       // a part that is not held any more has gone out
     double timeout_s = 0;
-    bool answered = false, may_have_run = false, free = false;
+    bool answered = false, may_have_run = false;
     lemonchute::policy::Effect effect = lemonchute::policy::Effect::kFree;
     Clock::time_point client_deadline;  // by which the client waits, as far as that is known here
     bool Out() const {
--- a/src/net/invariants.cpp
+++ b/src/net/invariants.cpp
@@ -22,11 +22,9 @@
   return "unknown";
 }
 
-bool Invariants::Check(Invariant invariant, bool holds, const std::string& what) {
-  if (holds) return true;
+void Invariants::Violated(Invariant invariant, const std::string& what) {
   ++violations_[static_cast<size_t>(invariant)];
   if (MayLog()) std::fprintf(stderr, "invariant violated: %s: %s\n", Name(invariant), what.c_str());
-  return false;
 }
 
 bool Invariants::MayLog() {
--- a/src/net/invariants.h
+++ b/src/net/invariants.h
@@ -25,8 +25,8 @@
 
 class Invariants {
  public:
-  // Returns `holds`. `what` names the request, connection, attempt and backend.
-  bool Check(Invariant invariant, bool holds, const std::string& what);
+  // `what` names the request, connection, attempt and backend.
+  void Violated(Invariant invariant, const std::string& what);
   uint64_t violations(Invariant invariant) const { return violations_[static_cast<size_t>(invariant)]; }
 
  private:
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -51,23 +51,8 @@
 constexpr auto kListenFor = std::chrono::seconds(10);
 constexpr auto kListenEvery = std::chrono::milliseconds(50);
 
-// What may be over in a moment: a shortage of the machine's, or an address that another process is about to
-// leave.
-bool MayPass(int error) {
-  switch (error) {
-    case ENFILE:
-    case EMFILE:
-    case ENOBUFS:
-    case ENOMEM:
-    case EADDRINUSE:
-    case EADDRNOTAVAIL:
-    case ENETUNREACH:
-    case ENETDOWN:
-    case EINTR:
-    case EAGAIN: return true;
-    default: return false;
-  }
-}
+// A shortage of the machine's, or an address that another process is about to leave.
+bool MayPass(int error) { return IsShortage(error) || error == EADDRINUSE; }
 
 void TryListen(tcp::acceptor& acceptor, const tcp::endpoint& address, int backlog) {
   acceptor.open(address.protocol());
--- a/src/net/socket_io.h
+++ b/src/net/socket_io.h
@@ -5,6 +5,7 @@
 #define LEMONCHUTE_NET_SOCKET_IO_H_
 
 #include <boost/asio.hpp>
+#include <cerrno>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,6 +16,23 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// Whether socket, bind or connect has failed for want of something of this machine's, which may be over in a
+// moment, and not on account of another side (socket(2), connect(2)).
+inline bool IsShortage(int error) {
+  switch (error) {
+    case EADDRNOTAVAIL:
+    case EAGAIN:
+    case EINTR:
+    case EMFILE:
+    case ENETDOWN:
+    case ENETUNREACH:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM: return true;
+    default: return false;
+  }
+}
+
 // Makes `call(error)` again for as long as a signal interrupts it.
 template <typename Call>
 auto Uninterrupted(error_code& error, Call call) {
