Lab: rules go by when the kernel took what was written, not by the lab's own lag

Callers saw nothing: the lab blamed gateways for its own lag.

Cause: the lab, one thread that plays clients, backends and relays, counted a request's time from when it was due, an answer from when it read it, an attempt from when a relay read it.

Change: the kernel's timestamps of what it takes; a request's time runs from its last byte as the protocol has it. The grace of 50 ms stays. What the lab delays is counted and said. The gateway's trace tells the processor time and how far from its deadline an answer was.

--- a/lab/cli/tables.cpp
+++ b/lab/cli/tables.cpp
@@ -128,6 +128,9 @@
       out += day + ": the lab itself was late by " + Fixed(r["lab"]["late_p99_ms"], 2) + " ms (p99), " +
              Fixed(r["lab"]["late_worst_ms"], 2) + " ms at the worst, and used " +
              Fixed(r["lab"]["cpu_s"], 2) + " s of a processor\n";
+    if (r.contains("lab") && r["lab"].value("delayed_exchanges", 0) > 0)
+      out += day + ": " + r["lab"]["delayed_exchanges"].dump() +
+             " requests were written or their answers read late by the lab, and are judged without its lag\n";
   }
   return out;
 }
--- a/lab/play/real/clients.cpp
+++ b/lab/play/real/clients.cpp
@@ -1,9 +1,18 @@
 // Connections are kept and used again, the one used last first; one is opened where all are busy.
 #include "play/real/clients.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace lemonchute::lab {
+namespace {
+
+constexpr HttpConnection::Clock::time_point kNoMoment{};
+// How often a request is looked at that the lab has yet to write, or whose answer it has yet to read.
+constexpr Micros kLagCheckEach = 10'000;
+
+}  // namespace
 
 Clients::Clients(World& world, StubBackends& backends, bool null_run,
                  std::function<bool(int, Micros)> answers)
@@ -39,22 +48,14 @@
     world_.judge.Unheard(at, id);
     return Again(id, 0);
   }
-  world_.schedule.At(at + world_.network.ClientWay(), [this, id] { Ask(id, false); });
+  Micros write_due = at + world_.network.ClientWay();
+  world_.schedule.At(write_due, [this, id, write_due] { Ask(id, false, write_due); });
   world_.schedule.At(at + patience, [this, id] {
     if (world_.judge.At(id).told) return;
     world_.judge.Left(world_.Now(), id);
     Again(id, 0);
   });
-  world_.schedule.At(at + patience + FromS(world_.day.answer_grace_s), [this, id] {
-    auto open = open_.find(id);
-    if (open == open_.end()) return;
-    std::shared_ptr<HttpConnection> connection = open->second.connection;
-    open_.erase(open);
-    const Try& t = world_.judge.At(id);
-    if (answers_(t.gateway, t.sent))
-      world_.judge.Lost(world_.Now(), id, "no final answer by the end of its time and the grace");
-    connection->Close();
-  });
+  world_.schedule.At(at + patience + FromS(world_.day.answer_grace_s), [this, id] { CheckAnswered(id); });
   if (auto leaves = world_.client_router.LeavesAfter(arrival, number, patience)) {
     world_.schedule.At(at + *leaves, [this, id] {
       auto open = open_.find(id);
@@ -82,7 +83,70 @@
          (t.number > 0 ? "Client-Retry: 1\r\n" : "") + "\r\n";
 }
 
-void Clients::Ask(uint32_t id, bool fresh) {
+std::optional<Micros> Clients::LastAnswerAt(uint32_t id, const Open& open) const {
+  const Try& t = world_.judge.At(id);
+  const HttpConnection::Exchange& exchange = open.connection->exchange();
+  if (exchange.written_at == kNoMoment) return std::nullopt;
+  Micros written_late = std::max<Micros>(0, world_.schedule.MomentOf(exchange.written_at) - open.write_due);
+  return t.sent + written_late + t.patience + FromS(world_.day.answer_grace_s);
+}
+
+void Clients::CheckAnswered(uint32_t id) {
+  auto found = open_.find(id);
+  if (found == open_.end()) return;
+  Open open = found->second;
+  const HttpConnection::Exchange& exchange = open.connection->exchange();
+  auto last = LastAnswerAt(id, open);
+  auto unread = open.connection->UnreadSince();
+  bool write_pending = !last && open.connection->IsConnected();
+  bool read_pending = last && unread && world_.schedule.MomentOf(*unread) <= *last;
+  if (write_pending || read_pending || (last && world_.Now() < *last)) {
+    if (!std::exchange(found->second.delayed_by_lab, true)) {
+      ++delayed_by_lab_;
+      world_.log->info("at_s={:.4f} delayed_by_lab {}", ToS(world_.Now()), Steps(id, open, exchange));
+    }
+    Micros soon = world_.Now() + kLagCheckEach;
+    return world_.schedule.At(last ? std::max(*last, soon) : soon, [this, id] { CheckAnswered(id); });
+  }
+  open_.erase(found);
+  const Try& t = world_.judge.At(id);
+  if (answers_(t.gateway, t.sent)) {
+    world_.judge.Lost(
+        world_.Now(), id,
+        "no final answer by the end of its time and the grace (" + Steps(id, open, exchange) + ")");
+  }
+  open.connection->Close();
+}
+
+bool Clients::CameTooLate(uint32_t id, const Open& open, const HttpConnection::Exchange& exchange) const {
+  const Try& t = world_.judge.At(id);
+  auto last = LastAnswerAt(id, open);
+  return last && exchange.arrived_at != kNoMoment && answers_(t.gateway, t.sent) &&
+         world_.schedule.MomentOf(exchange.arrived_at) > *last;
+}
+
+std::string Clients::Steps(uint32_t id, const Open& open, const HttpConnection::Exchange& exchange) const {
+  const Try& t = world_.judge.At(id);
+  std::string text = "request=" + RequestId(world_.day, id) + " gateway=" + std::to_string(t.gateway);
+  auto add = [&](const char* step, Micros at) {
+    char part[64];
+    std::snprintf(part, sizeof(part), " %s_s=%.4f", step, ToS(at));
+    text += part;
+  };
+  auto add_moment = [&](const char* step, HttpConnection::Clock::time_point at) {
+    if (at != kNoMoment) add(step, world_.schedule.MomentOf(at));
+  };
+  add("sent", t.sent);
+  add("patience", t.patience);
+  add("write_due", open.write_due);
+  add_moment("asked", exchange.asked_at);
+  add_moment("written", exchange.written_at);
+  add_moment("arrived", exchange.arrived_at);
+  add_moment("read", exchange.read_at);
+  return text;
+}
+
+void Clients::Ask(uint32_t id, bool fresh, Micros write_due) {
   const Try& t = world_.judge.At(id);
   tcp::endpoint to = world_.slice.Gateway(t.gateway);
   auto pool = static_cast<size_t>(t.gateway);
@@ -100,7 +164,7 @@
     connection = std::make_shared<HttpConnection>(world_.io);
   }
   if (!fresh) world_.judge.Taken(world_.Now(), id);
-  open_[id] = {connection, fresh};
+  open_[id] = {connection, fresh, false, write_due};
   connection->Ask(to, Text(id), [this, id](const HttpConnection::Answer& answer) { Done(id, answer); });
 }
 
@@ -112,16 +176,26 @@
   const Try& t = world_.judge.At(id);
   if (answer.failed == HttpConnection::Failed::kClosedUnheard && was.connection->used() && !was.again &&
       t.attempts == 0)
-    return Ask(id, true);
+    return Ask(id, true, was.write_due);
+  if (CameTooLate(id, was, answer.exchange)) {
+    const char* what =
+        answer.failed == HttpConnection::Failed::kNo ? "its final answer" : "the end of its connection";
+    world_.judge.Lost(
+        world_.Now(), id,
+        std::string(what) + " came past its time and the grace (" + Steps(id, was, answer.exchange) + ")");
+  }
   if (answer.failed == HttpConnection::Failed::kNo && answer.keeps) {
     idle_[static_cast<size_t>(null_run_ ? null_backend_[id] : t.gateway)].push_back(was.connection);
   }
-  world_.schedule.After(world_.network.ClientWay(), [this, id, answer] { Judge(id, answer); });
+  bool stamped = answer.exchange.arrived_at != kNoMoment;
+  Micros arrived = stamped ? world_.schedule.MomentOf(answer.exchange.arrived_at) : world_.Now();
+  Micros at = arrived + world_.network.ClientWay();
+  world_.schedule.At(at, [this, id, answer, at] { Judge(id, answer, at); });
 }
 
-void Clients::Judge(uint32_t id, const HttpConnection::Answer& answer) {
+// `now`: when the client has the answer, however late the lab was to read it.
+void Clients::Judge(uint32_t id, const HttpConnection::Answer& answer, Micros now) {
   const Try& t = world_.judge.At(id);
-  Micros now = world_.Now();
   if (t.told) return;  // its client had gone
   switch (answer.failed) {
     case HttpConnection::Failed::kRefused: world_.judge.Unheard(now, id); return Again(id, 0);
--- a/lab/play/real/clients.h
+++ b/lab/play/real/clients.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "play/real/stub_backends.h"
@@ -18,18 +20,31 @@
           std::function<bool(int gateway, Micros sent)> answers);
   void Begin();                           // the day's arrivals, one after another
   size_t Connections(int gateway) const;  // that clients hold to it
+  // Exchanges that would have been judged as late for nothing but the lab's own lag.
+  uint64_t delayed_by_lab() const { return delayed_by_lab_; }
 
  private:
   struct Open {
     std::shared_ptr<HttpConnection> connection;
-    bool again = false;  // sent once more, since a connection's end had crossed it
+    bool again = false;           // sent once more, since a connection's end had crossed it
+    bool delayed_by_lab = false;  // it is counted as such
+    Micros write_due = 0;         // when it was to be written
   };
   void Next(uint32_t arrival);
   void Send(uint32_t arrival, int number, Micros at);
-  void Ask(uint32_t id, bool fresh);
+  void Ask(uint32_t id, bool fresh, Micros write_due);
   void Done(uint32_t id, const HttpConnection::Answer& answer);
-  void Judge(uint32_t id, const HttpConnection::Answer& answer);
+  void Judge(uint32_t id, const HttpConnection::Answer& answer, Micros now);
   void Again(uint32_t id, double retry_after_s);
+  // The last moment of its final answer. A request's time counts from its last byte (PROTOCOL, Figures), so
+  // it does not run while the lab is late in writing it. None: it is not written yet.
+  std::optional<Micros> LastAnswerAt(uint32_t id, const Open& open) const;
+  // Called once the request's time and the grace are over, by the plan.
+  void CheckAnswered(uint32_t id);
+  // By when the kernel had the answer, or the connection's end in its place, however late the lab reads it.
+  bool CameTooLate(uint32_t id, const Open& open, const HttpConnection::Exchange& exchange) const;
+  // The steps of an exchange, by the day's clock.
+  std::string Steps(uint32_t id, const Open& open, const HttpConnection::Exchange& exchange) const;
   std::string Text(uint32_t id) const;
 
   World& world_;
@@ -39,6 +54,7 @@
   std::vector<std::vector<std::shared_ptr<HttpConnection>>> idle_;  // by gateway; in a null run by backend
   std::unordered_map<uint32_t, Open> open_;
   std::vector<int> null_backend_;  // by try
+  uint64_t delayed_by_lab_ = 0;
 };
 
 }  // namespace lemonchute::lab
--- a/lab/play/real/http.cpp
+++ b/lab/play/real/http.cpp
@@ -4,11 +4,14 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 
+#include "play/real/receive_timestamps.h"
+
 namespace lemonchute::lab {
 namespace {
 
 using boost::system::error_code;
 constexpr uint64_t kMostBody = 64u << 20;  // past what any page lets a message have
+constexpr size_t kReadAtOnce = 64 * 1024;
 
 void ResetSocket(tcp::socket* socket) {
   error_code ignored;
@@ -39,6 +42,15 @@
 void HttpServer::Peer::Read() {
   parser_.emplace();
   parser_->body_limit(kMostBody);
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    if (self->gone_) return;
+    if (error) return self->Gone();
+    self->arrived_at_ = WaitingSince(self->socket_.native_handle()).value_or(Received::Clock::now());
+    self->ReadRequest();
+  });
+}
+
+void HttpServer::Peer::ReadRequest() {
   http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, size_t) {
     if (self->gone_) return;
     if (error) return self->Gone();
@@ -105,6 +117,8 @@
 
 void HttpServer::Open() {
   acceptor_.emplace(io_, at_, true);
+  error_code ignored;
+  acceptor_->set_option(ReceiveTimestamps(true), ignored);
   Accept();
 }
 
@@ -133,39 +147,92 @@
 void HttpConnection::Ask(const tcp::endpoint& to, std::string request, std::function<void(Answer)> done) {
   out_ = std::move(request);
   done_ = std::move(done);
+  exchange_ = {};
+  exchange_.asked_at = Clock::now();
   if (socket_.is_open()) return Write();
   socket_.async_connect(to, [self = shared_from_this()](error_code error) {
-    if (error) return self->End({Failed::kRefused, 0, {}, {}, false});
+    if (error) return self->End({Failed::kRefused, 0, {}, {}, false, {}});
     error_code ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
+    self->socket_.set_option(ReceiveTimestamps(true), ignored);
     self->Write();
   });
 }
 
+// The socket has room for a request, so its bytes are out before the call returns; its handler may be late.
 void HttpConnection::Write() {
+  exchange_.written_at = Clock::now();
   asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](error_code error, size_t) {
-    if (error) return self->End({Failed::kClosedUnheard, 0, {}, {}, false});
+    if (error) return self->End({Failed::kClosedUnheard, 0, {}, {}, false, {}});
     self->parser_.emplace();
     self->parser_->body_limit(kMostBody);
-    http::async_read(self->socket_, self->buffer_, *self->parser_, [self](error_code failed, size_t read) {
-      bool unheard = failed && read == 0 && self->buffer_.size() == 0;
-      if (failed) return self->End({unheard ? Failed::kClosedUnheard : Failed::kBroken, 0, {}, {}, false});
-      Answer answer;
-      auto message = self->parser_->release();
-      answer.status = static_cast<int>(message.result_int());
-      auto after = message[http::field::retry_after];
-      answer.retry_after.assign(after.data(), after.size());
-      answer.body = std::move(message.body());
-      answer.keeps = message.keep_alive();
-      ++self->answers_;
-      self->End(std::move(answer));
-    });
+    self->parser_->eager(true);
+    self->Read();
+  });
+}
+
+void HttpConnection::Read() {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    if (error) return self->OnEnd(false);
+    self->OnReadable();
   });
 }
 
+void HttpConnection::OnReadable() {
+  auto room = buffer_.prepare(kReadAtOnce);
+  Received received = Receive(socket_.native_handle(), room.data(), room.size());
+  if (received.WouldBlock()) return Read();
+  exchange_.read_at = Clock::now();
+  exchange_.arrived_at = received.arrived_at.value_or(exchange_.read_at);
+  if (received.size <= 0) return OnEnd(received.size == 0);
+  buffer_.commit(static_cast<size_t>(received.size));
+  Parse();
+}
+
+// An answer without a length is whole where its connection ends in order.
+void HttpConnection::OnEnd(bool in_order) {
+  error_code error;
+  if (in_order && parser_->got_some()) parser_->put_eof(error);
+  if (in_order && !error && parser_->is_done()) return Finish();
+  bool unheard = !parser_->got_some() && buffer_.size() == 0;
+  End({unheard ? Failed::kClosedUnheard : Failed::kBroken, 0, {}, {}, false, {}});
+}
+
+void HttpConnection::Parse() {
+  error_code error;
+  buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error == http::error::need_more) return Read();
+  if (error) return End({Failed::kBroken, 0, {}, {}, false, {}});
+  parser_->is_done() ? Finish() : Read();
+}
+
+void HttpConnection::Finish() {
+  Answer answer;
+  auto message = parser_->release();
+  answer.status = static_cast<int>(message.result_int());
+  auto after = message[http::field::retry_after];
+  answer.retry_after.assign(after.data(), after.size());
+  answer.body = std::move(message.body());
+  answer.keeps = message.keep_alive();
+  ++answers_;
+  End(std::move(answer));
+}
+
+bool HttpConnection::IsConnected() const {
+  error_code error;
+  socket_.remote_endpoint(error);
+  return !error;
+}
+
+std::optional<HttpConnection::Clock::time_point> HttpConnection::UnreadSince() const {
+  if (!socket_.is_open()) return std::nullopt;
+  return WaitingSince(const_cast<tcp::socket&>(socket_).native_handle());
+}
+
 void HttpConnection::End(Answer answer) {
   if (!done_) return;
   if (!answer.keeps) Close();
+  answer.exchange = exchange_;
   auto done = std::exchange(done_, nullptr);
   done(std::move(answer));
 }
--- a/lab/play/real/http.h
+++ b/lab/play/real/http.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,12 +34,15 @@
     uint64_t id() const { return id_; }
     int requests() const { return requests_; }
     const tcp::endpoint& from() const { return from_; }
+    // When the kernel took the first byte of the newest request.
+    std::chrono::steady_clock::time_point arrived_at() const { return arrived_at_; }
     void Reply(std::string bytes, std::function<void()> written = {});
     void Reset();
 
    private:
     friend class HttpServer;
     void Read();
+    void ReadRequest();
     void Watch();
     void Gone();
 
@@ -49,6 +53,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     std::string out_;
+    std::chrono::steady_clock::time_point arrived_at_;
     int requests_ = 0;
     bool busy_ = false, watching_ = false, gone_ = false;
   };
@@ -78,24 +83,43 @@
   uint64_t last_ = 0;
 };
 
-// The client's side of one connection.
+// The client's side of one connection. Every exchange carries the moments of its steps, so that a late answer
+// can be told from one that this program was late to read.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
  public:
+  using Clock = std::chrono::steady_clock;
   enum class Failed { kNo, kRefused, kClosedUnheard, kBroken };
+  struct Exchange {
+    Clock::time_point asked_at, written_at;
+    Clock::time_point arrived_at;  // when the kernel took the newest bytes of the answer
+    Clock::time_point read_at;     // when this program read them
+  };
   struct Answer {
     Failed failed = Failed::kNo;
     int status = 0;
     std::string retry_after, body;
     bool keeps = false;  // the connection may be used again
+    Exchange exchange;
   };
   explicit HttpConnection(asio::io_context& io) : socket_(io) {}
   // Writes `request`, on a connection made now where there is none, and reads one answer.
   void Ask(const tcp::endpoint& to, std::string request, std::function<void(Answer)> done);
   void Close();
   bool used() const { return answers_ > 0; }
+  const Exchange& exchange() const { return exchange_; }
+  // Whether the connection is up, as the kernel has it: this program may still have to hear of it.
+  bool IsConnected() const;
+  // When the kernel took the oldest bytes that wait to be read, or the end of the connection; none: nothing
+  // waits.
+  std::optional<Clock::time_point> UnreadSince() const;
 
  private:
   void Write();
+  void Read();
+  void OnReadable();
+  void OnEnd(bool in_order);
+  void Parse();
+  void Finish();
   void End(Answer answer);
 
   tcp::socket socket_;
@@ -103,6 +127,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string out_;
   std::function<void(Answer)> done_;
+  Exchange exchange_;
   int answers_ = 0;
 };
 
--- a/lab/play/real/real_day.cpp
+++ b/lab/play/real/real_day.cpp
@@ -112,7 +112,8 @@
     report["lab"] = {{"cpu_s", OwnCpu() - cpu_before},
                      {"late_p50_ms", static_cast<double>(world_.schedule.LateAt(0.5)) / 1000},
                      {"late_p99_ms", static_cast<double>(world_.schedule.LateAt(0.99)) / 1000},
-                     {"late_worst_ms", static_cast<double>(world_.schedule.LateAt(1)) / 1000}};
+                     {"late_worst_ms", static_cast<double>(world_.schedule.LateAt(1)) / 1000},
+                     {"delayed_exchanges", clients_.delayed_by_lab()}};
     auto beside = [&](double share) {
       std::sort(world_.beside.begin(), world_.beside.end());
       if (world_.beside.empty()) return 0.0;
@@ -152,7 +153,7 @@
   void Begin(std::vector<int> late) {
     if (finishing_) return;
     world_.schedule.Begin(Schedule::Clock::now());
-    world_.log->info("begins not_ready={}", late.size());
+    world_.log->info("begins not_ready={} clock_s={:.6f}", late.size(), ToS(world_.schedule.ClockAtStart()));
     discovery_agents_.Begin();
     for (int g : late) {
       world_.judge.Crashed(0, g, "did not become ready");
--- a/lab/play/real/relays.cpp
+++ b/lab/play/real/relays.cpp
@@ -17,6 +17,8 @@
 void Relay::Open() {
   if (acceptor_) return;
   acceptor_.emplace(world_.io, at_, true);
+  boost::system::error_code ignored;
+  acceptor_->set_option(ReceiveTimestamps(true), ignored);
   Accept();
 }
 
@@ -61,22 +63,31 @@
   if (half.reading || half.ended || half.bytes >= kMostHeld) return;
   half.reading = true;
   (out ? link->near : link->far)
-      .async_read_some(asio::buffer(half.part), [this, link, out](boost::system::error_code error, size_t n) {
+      .async_wait(tcp::socket::wait_read, [this, link, out](boost::system::error_code error) {
         if (link->gone) return;
-        Half& read = out ? link->out : link->in;
-        read.reading = false;
-        if (error == asio::error::eof) {
-          if (link->mute) return Reset(link);
-          read.ended = true;
-          return Pump(link, out);
-        }
         if (error) return Reset(link);
-        if (!link->mute) Keep(link, out, n);
-        Read(link, out);
+        OnReadable(link, out);
       });
 }
 
-void Relay::Keep(const LinkPtr& link, bool out, size_t bytes) {
+void Relay::OnReadable(const LinkPtr& link, bool out) {
+  Half& half = out ? link->out : link->in;
+  half.reading = false;
+  Received received =
+      Receive((out ? link->near : link->far).native_handle(), half.part.data(), half.part.size());
+  if (received.WouldBlock()) return Read(link, out);
+  if (received.size < 0) return Reset(link);
+  if (received.size == 0) {
+    if (link->mute) return Reset(link);
+    half.ended = true;
+    return Pump(link, out);
+  }
+  if (!link->mute) Keep(link, out, received);
+  Read(link, out);
+}
+
+void Relay::Keep(const LinkPtr& link, bool out, const Received& received) {
+  auto bytes = static_cast<size_t>(received.size);
   Half& half = out ? link->out : link->in;
   PathState state = State(out);
   if (state.black_hole) {
@@ -84,7 +95,10 @@
     return;
   }
   // A message's time is that of its first byte, however long the path keeps it.
-  if (out && half.held.empty()) world_.written_at[{link->far_end, to_}] = world_.Now();
+  if (out && half.held.empty()) {
+    world_.written_at[{link->far_end, to_}] =
+        world_.schedule.MomentOf(received.arrived_at.value_or(Schedule::Clock::now()));
+  }
   auto due = std::max(half.last,
                       Schedule::Clock::now() + std::chrono::microseconds(world_.paths.StreamDelay(state, 0)));
   size_t piece = bytes;
--- a/lab/play/real/relays.h
+++ b/lab/play/real/relays.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "play/real/receive_timestamps.h"
 #include "play/real/world.h"
 
 namespace lemonchute::lab {
@@ -56,7 +57,8 @@
   void Accept();
   void Take(tcp::socket socket);
   void Read(const LinkPtr& link, bool out);
-  void Keep(const LinkPtr& link, bool out, size_t bytes);
+  void OnReadable(const LinkPtr& link, bool out);
+  void Keep(const LinkPtr& link, bool out, const Received& received);
   void Pump(const LinkPtr& link, bool out);
   void Reset(const LinkPtr& link);
   void Forget(const LinkPtr& link);
--- a/lab/play/real/schedule.h
+++ b/lab/play/real/schedule.h
@@ -28,8 +28,9 @@
   Micros ClockAtStart() const {
     return std::chrono::duration_cast<std::chrono::microseconds>(start_.time_since_epoch()).count();
   }
-  Micros Now() const {
-    return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start_).count();
+  Micros Now() const { return MomentOf(Clock::now()); }
+  Micros MomentOf(Clock::time_point at) const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(at - start_).count();
   }
   void At(Micros at, std::function<void()> what) {
     // What is past already is due now: the lab is not late by it.
--- a/lab/play/real/stub_backends.cpp
+++ b/lab/play/real/stub_backends.cpp
@@ -76,7 +76,9 @@
   const Try& t = world_.judge.At(*id);
   const Arrival& a = world_.day.arrivals[t.arrival];
   auto written = world_.written_at.find({peer->from(), world_.slice.Backend(backend)});
-  world_.judge.Sending(written == world_.written_at.end() ? now : written->second, *id, backend);
+  world_.judge.Sending(
+      written == world_.written_at.end() ? world_.schedule.MomentOf(peer->arrived_at()) : written->second,
+      *id, backend);
   Advance(backend);
   Regret regret = RegretOf(cores_, static_cast<size_t>(backend), a.work_s, now,
                            [&](size_t other) { return Lists(t.gateway, other); });
--- a/lab/tests/cuts.cmake
+++ b/lab/tests/cuts.cmake
@@ -48,6 +48,11 @@
         "  auto late = std::make_shared<asio::steady_timer>(io_, std::chrono::seconds(9));
   in_flight_.at(action.request_id).deadline += std::chrono::seconds(9);
   late->async_wait([this, late, id = action.request_id, answer](error_code) { Respond(id, answer); });")
+lab_cut(tardy net/request_lifecycle.cpp "  Respond(action.request_id, std::move(answer));"
+        "  InFlightRequest& refused = in_flight_.at(action.request_id);
+  auto late = std::make_shared<asio::steady_timer>(io_, refused.client_deadline + std::chrono::milliseconds(100));
+  refused.deadline += std::chrono::seconds(9);
+  late->async_wait([this, late, id = action.request_id, answer](error_code) { Respond(id, answer); });")
 lab_cut(body net/request_lifecycle.cpp "  server_.Reply(request.connection, std::move(answer));"
         "  if (answer.status == 200 && id % 8 == 0) answer.body = \"{}\";
   server_.Reply(request.connection, std::move(answer));")
--- a/lab/tests/faults_test.cpp
+++ b/lab/tests/faults_test.cpp
@@ -36,10 +36,15 @@
 // On real sockets; the program is the gateway.
 const std::vector<Cut>& GatewayCuts() {
   static const std::vector<Cut> cuts = {
-      {"copies", "duplicate", "quiet", kShort},        {"late", "one answer", "quiet", kShort},
-      {"body", "one answer", "quiet", kShort},         {"crash", "crash", "quiet", kShort},
-      {"descriptors", "descriptors", "quiet", kShort}, {"record", "drain", "ban-upgrade", {}},
-      {"figure", "figures", "quiet", kShort},          {"readiness", "drain of a gateway", "drain-short", {}},
+      {"copies", "duplicate", "quiet", kShort},
+      {"late", "one answer", "quiet", kShort},
+      {"tardy", "one answer", "quiet", kShort},
+      {"body", "one answer", "quiet", kShort},
+      {"crash", "crash", "quiet", kShort},
+      {"descriptors", "descriptors", "quiet", kShort},
+      {"record", "drain", "ban-upgrade", {}},
+      {"figure", "figures", "quiet", kShort},
+      {"readiness", "drain of a gateway", "drain-short", {}},
       {"reload", "figures", "retune-short", {}},
   };
   return cuts;
--- a/lab/tests/real_test.cpp
+++ b/lab/tests/real_test.cpp
@@ -1,9 +1,12 @@
 // Real days that go wrong in other ways than by a broken rule: each ends, says why, and leaves no process.
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <filesystem>
 #include <future>
+#include <thread>
 
 #include "experiment/compare.h"
+#include "play/real/http.h"
 #include "play/real/process.h"
 #include "play/real/real_day.h"
 #include "processes.h"
@@ -85,6 +88,69 @@
   EXPECT_GT(report["lab"]["late_p99_ms"].get<double>(), 0);
 }
 
+// The lab's own process stands still again and again while requests are under way.
+nlohmann::json PlayHeldUp(const std::string& gateway) {
+  constexpr int kStops = 12;
+  constexpr useconds_t kStoppedUs = 400'000, kRunsUs = 100'000;
+  Keep keep;
+  Script script(std::string("exec ") + LAB_PROGRAM + " run " + ShippedPath("quiet") +
+                " --real --json --set day.length_s=5 day.settle_s=4 load.use=4 --gateway " + gateway +
+                " --logs " + keep.path + "/day");
+  Process::Start start;
+  start.program = script.path;
+  start.log = keep.path + "/report";
+  start.descriptors = 4096;
+  Process lab(start);
+  for (int i = 0; i < 3000 && ChildrenOf(keep.path + "/day") < 3; ++i) usleep(10'000);
+  for (int i = 0; i < kStops; ++i) {
+    usleep(kRunsUs);
+    lab.Signal(SIGSTOP);
+    usleep(kStoppedUs);
+    lab.Signal(SIGCONT);
+  }
+  for (int i = 0; i < 3000 && !lab.Ended(); ++i) usleep(10'000);
+  return nlohmann::json::parse(Slurp(start.log));
+}
+
+// Guards against answers that the lab itself was late to ask for or to read being held against a gateway.
+TEST(Real, ALabThatIsHeldUpFindsNoLateAnswerInASoundGatewayAndFindsThoseOfALateOne) {
+  auto late = std::async(std::launch::async, PlayHeldUp, LAB_CUTS "/lab_cut_tardy");
+  nlohmann::json sound = PlayHeldUp(LAB_GATEWAY);
+  EXPECT_EQ(sound["broken"], 0) << sound.value("breaches", nlohmann::json::array()).dump();
+  EXPECT_GT(sound["lab"]["late_worst_ms"], 350);
+  EXPECT_GT(sound["lab"]["delayed_exchanges"], 0);
+  EXPECT_GT(sound["counts"]["served"], 300);
+  std::string breaches = late.get().value("breaches", nlohmann::json::array()).dump();
+  EXPECT_NE(breaches.find("\"rule\":\"one answer\""), std::string::npos) << breaches;
+}
+
+TEST(Real, AnExchangeTellsWhenItsAnswerCameHoweverLateItIsRead) {
+  constexpr auto kHeldUp = std::chrono::milliseconds(200);
+  asio::io_context server_io, io;
+  tcp::acceptor acceptor(server_io, {asio::ip::address_v4::loopback(), 0});
+  HttpConnection::Clock::time_point answered_at;
+  auto server = std::async(std::launch::async, [&] {
+    tcp::socket socket = acceptor.accept();
+    char request[64];
+    socket.read_some(asio::buffer(request));
+    answered_at = HttpConnection::Clock::now();
+    asio::write(socket, asio::buffer(HttpAnswer(200, "", "whole")));
+  });
+  HttpConnection::Answer answer;
+  auto connection = std::make_shared<HttpConnection>(io);
+  connection->Ask(acceptor.local_endpoint(), "GET / HTTP/1.1\r\n\r\n",
+                  [&](const auto& got) { answer = got; });
+  while (connection->exchange().written_at == HttpConnection::Clock::time_point()) io.run_one();
+  server.get();
+  std::this_thread::sleep_for(kHeldUp);
+  EXPECT_TRUE(connection->UnreadSince().has_value());
+  io.run();
+  EXPECT_EQ(answer.body, "whole");
+  EXPECT_GE(answer.exchange.read_at - answered_at, kHeldUp);
+  EXPECT_GE(answer.exchange.arrived_at, answered_at);
+  EXPECT_LT(answer.exchange.arrived_at - answered_at, kHeldUp);
+}
+
 TEST(Commands, ExitCodesAndFaults) {
   Keep keep;
   std::string broken = keep.path + "/broken.toml";
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -304,7 +304,8 @@
   if (found == nullptr || found->answered) return;
   InFlightRequest& request = *found;
   request.answered = true;
-  log_.Note(request.request_id, "answered", "status=%d", answer.status);
+  double past_deadline_s = std::chrono::duration<double>(Clock::now() - request.deadline).count();
+  log_.Note(request.request_id, "answered", "status=%d past_deadline_s=%.4f", answer.status, past_deadline_s);
   CountResponse(request, answer.status);
   unanswered_by_connection_.erase(request.connection);
   server_.Reply(request.connection, std::move(answer));
--- a/src/net/request_log.h
+++ b/src/net/request_log.h
@@ -2,6 +2,8 @@
 #ifndef LEMONCHUTE_NET_REQUEST_LOG_H_
 #define LEMONCHUTE_NET_REQUEST_LOG_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -15,7 +17,8 @@
  public:
   RequestLog() : enabled_(std::getenv("LEMONCHUTE_TRACE") != nullptr) {}
 
-  /// The line begins with the monotonic clock's time in seconds.
+  /// The line begins with the monotonic clock's time and the processor time of this process, both in seconds:
+  /// time that passes without the other was spent waiting for the processor or for events.
   /// @param request the Request-Id.
   /// @param state one word.
   /// @param detail key=value pairs, a format of std::printf for `arguments`.
@@ -25,10 +28,17 @@
     char text[256];
     std::snprintf(text, sizeof(text), detail, arguments...);
     double now = std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-    std::fprintf(stderr, "%.6f request=%s %s %s\n", now, request.c_str(), state, text);
+    std::fprintf(stderr, "%.6f cpu_s=%.6f request=%s %s %s\n", now, ProcessorTimeS(), request.c_str(), state,
+                 text);
   }
 
  private:
+  static double ProcessorTimeS() {
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+  }
+
   const bool enabled_;
 };
 
