Discovery: where lists are pushed, backoff leaves room in the grace of drains

Cause: after refusals the gateway asked again after up to 2 s, whatever kind of lists the site has. Where they are pushed, what the agent gets at discovery's return counts at once (STANDING), and the grace is 1 s.

Change: there the pause is half of the drain grace at the most. The agent is on the same machine and answers at no cost; sites that ask for lists keep their backoff.

--- a/src/config/settings_parser.cpp
+++ b/src/config/settings_parser.cpp
@@ -129,12 +129,16 @@
   return plan;
 }
 
+bool ParseDiscoveryPushes(const SettingsReader& in) {
+  return in.Enum<bool>("discovery", {{"pushed", true}, {"on_request", false}});
+}
+
 void ParseScalars(const SettingsReader& in, Settings* settings) {
   settings->gateway_index = in.Integer("me");
   settings->gateway_count = in.Integer("peers-total");
   settings->zone = in.Integer("zone");
   settings->timer_resolution_s = in.Number("resolution-s");
-  settings->discovery_pushes = in.Enum<bool>("discovery", {{"pushed", true}, {"on_request", false}});
+  settings->discovery_pushes = ParseDiscoveryPushes(in);
   settings->max_request_units = in.Number("specifics.units-top");
   settings->counter_enabled = in.Boolean("specifics.may-count");
   settings->counter_timeout_s = in.Number("specifics.counter-timeout-s");
@@ -180,6 +184,7 @@
   settings.connection_idle_s = in.Number("limits.conn-idle-s");
   settings.connect_timeout_s = in.Number("limits.connect-timeout-s");
   settings.drain_grace_s = in.Number("invariants.drain-grace-s");
+  settings.discovery_pushes = ParseDiscoveryPushes(in);
   return settings;
 }
 
--- a/src/config/settings_parser.h
+++ b/src/config/settings_parser.h
@@ -21,6 +21,7 @@
   double connection_idle_s = 0;
   double connect_timeout_s = 0;
   double drain_grace_s = 0;
+  bool discovery_pushes = false;  // what discovery's agent has counts as known here, whether asked for or not
 };
 
 // @throws ProtocolError naming the setting that is missing or unreadable.
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -21,6 +21,9 @@
 // Leaves time for one more call to time out within kUpdateDeadline. The mean pause is half of this, about as
 // long as a watch: gateways that are refused send no more calls than those that are served.
 constexpr auto kMaxBackoff = kUpdateDeadline - 2 * kCallTimeout;
+// Where lists are pushed: the share of the drain grace. The agent is on this machine and has a drain at the
+// moment discovery returns; the rest of the grace remains for the call and for a process that is held up.
+constexpr double kMaxBackoffGraceShare = 0.5;
 // The snapshots after a move are spread over the longest wait that the protocol allows a watch, since
 // discovery's cost grows with each line of a list.
 constexpr auto kSnapshotSpread = std::chrono::milliseconds(60000);
@@ -87,6 +90,12 @@
   return std::chrono::duration_cast<Clock::duration>(limit * fraction(rng_));
 }
 
+Clock::duration DiscoveryClient::MaxBackoff() const {
+  if (!site_->discovery_pushes) return kMaxBackoff;
+  return std::clamp<Clock::duration>(Seconds(kMaxBackoffGraceShare * site_->drain_grace_s), kMinBackoff,
+                                     kMaxBackoff);
+}
+
 void DiscoveryClient::Poll() {
   if (!running_) return;
   uint64_t call = ++call_;
@@ -174,7 +183,7 @@
 void DiscoveryClient::OnFailure(bool refused) {
   uint64_t call = ++call_;
   CloseNow(socket_);
-  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kMinBackoff, kMaxBackoff);
+  backoff_ = std::clamp<Clock::duration>(backoff_ * 2, kMinBackoff, MaxBackoff());
   // A watch that broke continues from the same version. After a longer gap a snapshot is requested, so that
   // no change is missed whatever discovery still has. An agent that refuses is up and has it: snapshots for
   // every gateway would only add to its overload.
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -46,6 +46,7 @@
  private:
   void Restart();
   Clock::duration RandomUpTo(Clock::duration limit);
+  Clock::duration MaxBackoff() const;
   void Poll();
   void Connect();
   void Send();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -197,6 +197,33 @@
   }
 }
 
+// Guards against drains that the agent has been told of and a gateway asks for only after their grace: where
+// lists are pushed, what the agent gets at the return of discovery counts at once. A process may be held up
+// for 0.15 s before it writes, which the grace covers too.
+TEST(Watch, AnAgentThatRefusedAndHasPushedListsIsAskedWithinTheGraceOfDrains) {
+  constexpr auto kOutage = std::chrono::milliseconds(4200), kGrace = std::chrono::milliseconds(1000);
+  constexpr auto kHeldUp = std::chrono::milliseconds(150);
+  constexpr size_t kGateways = 60;
+  lemonchute::policy::SocketSettings site;
+  site.discovery_pushes = true;
+  site.drain_grace_s = std::chrono::duration<double>(kGrace).count();
+  boost::asio::io_context io{1};
+  FleetAgent agent(io, kOutage);
+  std::set<size_t> told;
+  std::vector<std::unique_ptr<lemonchute::net::DiscoveryClient>> fleet;
+  lemonchute::net::BackendIds ids;
+  for (size_t i = 0; i < kGateways; ++i) {
+    auto on_list = [&, i](const lemonchute::net::BackendList&) { told.insert(i); };
+    fleet.push_back(std::make_unique<lemonchute::net::DiscoveryClient>(
+        io, agent.at(), std::make_shared<const lemonchute::policy::SocketSettings>(site), &ids, on_list,
+        [] {}, i + 1));
+    fleet.back()->Start();
+  }
+  io.run_until(agent.until() + kGrace - kHeldUp);
+  EXPECT_EQ(told.size(), kGateways);
+  for (auto& client : fleet) client->Stop();
+}
+
 // A new configuration moves discovery for a whole fleet at once: each gateway asks for what has changed,
 // which discovery carries, and not for a whole list, which it does not.
 TEST(Watch, AMovedDiscoveryIsAskedForWhatHasChanged) {
