Lab: plans with restarts and reloads in a row, while clients use open connections

The drawn plans had no planned restart and no series of SIGHUP, clients left a gateway as soon as it said that it drains, and nothing that came after SIGTERM was judged.

Plans without the flag stay as they are.

MayHaveRun and the longest stall of a process stand once, in policy/types: the two forms differed on kOk, after which nobody asks.

--- a/lab/experiment/faults.cpp
+++ b/lab/experiment/faults.cpp
@@ -69,6 +69,14 @@
     {"discovery-silent", 1, At::kSite, {1, 6}, {1, 1}, 1},
     {"discovery-refuses", 1, At::kSite, {1, 6}, {1, 1}, 1},
 };
+// What operators do, for hunts that ask for it. They take as much of a plan as half of the faults.
+constexpr Kind kOperations[] = {
+    {"restart", 20, At::kGateways, {0, 0}, {1, 1}, 0.3, true},
+    {"retune", 10, At::kSite, {0, 0}, {0.9, 1.1}, 1, true},
+};
+constexpr double kKilledS = 3.7;  // SIGKILL follows SIGTERM after the longest deadline and 0.7 s
+constexpr int kReloadsInARow = 4;
+constexpr Range kBetweenReloadsS = {0.02, 0.4};
 constexpr double kReplacedS = 4.5;  // a replaced backend is gone so long after its replacement has started
 constexpr double kFirstFaultS = 3;  // by then all gateways serve
 constexpr const char* kSpoils[] = {"cut",  "flip",       "older",     "other",
@@ -94,6 +102,11 @@
       kinds.push_back(&kind);
       weights += kind.weight;
     }
+    for (const Kind& kind : kOperations) {
+      if (!wish_.operations || (!wish_.kind.empty() && wish_.kind != NameOf(kind))) continue;
+      kinds.push_back(&kind);
+      weights += kind.weight;
+    }
     while (!kinds.empty() && static_cast<int>(events_.size()) < wish_.events) {
       double at = random_.Uniform(0, weights);
       size_t i = 0;
@@ -123,7 +136,7 @@
     EventFigures e;
     e.kind = kind.kind;
     double length = random_.Uniform(kind.for_s.lo, kind.for_s.hi), down = random_.Uniform(0.2, 2);
-    double tail = e.kind == "replace" ? kReplacedS : down;
+    double tail = e.kind == "replace" ? kReplacedS : e.kind == "restart" ? kKilledS + down : down;
     double at = random_.Uniform(kFirstFaultS, std::max(kFirstFaultS, last - length - tail));
     e.at_s = Point(at), e.for_s = Point(std::min(length, std::max(0.0, last - at)));
     e.size = Point(random_.Uniform(kind.size.lo, kind.size.hi));
@@ -144,7 +157,15 @@
       }
       case At::kSite: break;
     }
-    if (e.kind == "kill" || e.kind == "power-loss") e.down_s = Point(down);
+    if (e.kind == "kill" || e.kind == "power-loss" || e.kind == "restart") e.down_s = Point(down);
+    if (e.kind == "retune") {
+      for (int i = 1; i < kReloadsInARow; ++i) {
+        EventFigures again = e;
+        at = std::min(last, at + random_.Uniform(kBetweenReloadsS.lo, kBetweenReloadsS.hi));
+        again.at_s = Point(at), again.size = Point(random_.Uniform(kind.size.lo, kind.size.hi));
+        events_.push_back(again);
+      }
+    }
     if (e.kind == "power-loss") e.order = random_.Chance(0.5) ? "up" : "down";
     if (e.kind == "claim") e.size = Point(random_.Below(gateways));
     if (e.kind == "spoil") {
--- a/lab/experiment/faults.h
+++ b/lab/experiment/faults.h
@@ -14,9 +14,10 @@
 
 struct PlanWish {
   int events = 8;
-  double quiet_s = 10;  // at the end nothing is wrong any more, so that recovery can be judged
-  bool real = false;    // with what only processes can show
-  std::string kind;     // this kind alone; empty: by the weights
+  double quiet_s = 10;      // at the end nothing is wrong any more, so that recovery can be judged
+  bool real = false;        // with what only processes can show
+  std::string kind;         // this kind alone; empty: by the weights
+  bool operations = false;  // with restarts (SIGTERM, SIGKILL at its earliest) and series of SIGHUP
 };
 // Every kind that a plan may hold.
 std::vector<std::string> PlanKinds(bool real);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -33,7 +33,7 @@
   int jobs = static_cast<int>(std::max(1u, std::thread::hardware_concurrency()));
   int for_s = 900, events = 8, gateways = 0;
   double quiet_s = 10, recover_s = 0;
-  bool with_history = false, by_kind = false;
+  bool with_history = false, by_kind = false, operations = false;
   int plays = 256;
 };
 
@@ -181,6 +181,7 @@
   if (asked.quiet_s < 2 || asked.quiet_s + 5 > base.length_s.lo)
     throw Unusable("--quiet: from 2 s to 5 s less than the day's length");
   base.expect = {};
+  if (asked.operations) base.use_until_end_share = {1, 1};
   return base;
 }
 
@@ -188,7 +189,7 @@
   FaultHunt hunt;
   hunt.base = FaultBase(asked);
   std::tie(hunt.first_seed, hunt.last_seed) = ReadSeeds(asked.seeds);
-  hunt.wish = {asked.by_kind ? 1 : asked.events, asked.quiet_s, asked.real, asked.kind};
+  hunt.wish = {asked.by_kind ? 1 : asked.events, asked.quiet_s, asked.real, asked.kind, asked.operations};
   std::vector<std::string> kinds = PlanKinds(asked.real);
   if (!asked.kind.empty() && std::find(kinds.begin(), kinds.end(), asked.kind) == kinds.end()) {
     std::string all;
@@ -365,6 +366,9 @@
   faults->add_option("--quiet", asked.quiet_s, "seconds at the end in which nothing is wrong")
       ->capture_default_str();
   faults->add_option("--kind", asked.kind, "this kind alone");
+  faults->add_flag("--operations", asked.operations,
+                   "restarts (SIGTERM, SIGKILL at its earliest) and series of SIGHUP too; clients use the "
+                   "connections that stay open");
   faults->add_flag("--by-kind", asked.by_kind, "every kind by itself: what service costs");
   faults->add_option("--recover", asked.recover_s,
                      "fails too where service is not back after so many seconds");
--- a/lab/model/client_router.cpp
+++ b/lab/model/client_router.cpp
@@ -69,6 +69,10 @@
   return std::max<Micros>(1000, std::min(left, FromS(day_->try_share * deadline)) / 1000 * 1000);
 }
 
+bool ClientRouter::UsesUntilEnd(uint32_t arrival, int number) const {
+  return day_->use_until_end_share > 0 && Habits(arrival, number, 4).Chance(day_->use_until_end_share);
+}
+
 std::optional<Micros> ClientRouter::LeavesAfter(uint32_t arrival, int number, Micros patience) const {
   Random habits = Habits(arrival, number, 1);
   if (!habits.Chance(day_->impatient_share)) return std::nullopt;
--- a/lab/model/day.cpp
+++ b/lab/model/day.cpp
@@ -54,6 +54,7 @@
   d->backoff_grows = Flag(r, s.backoff_grows), d->heeds_share = Pick(r, s.heeds_share);
   d->most_retry_after_s = Pick(r, s.most_retry_after_ms) * 1e-3,
   d->impatient_share = Pick(r, s.impatient_share);
+  d->use_until_end_share = s.use_until_end_share.lo;  // no draw: days without it stay as they are
   d->skew = Pick(r, s.skew), d->shift_s = Pick(r, s.shift_s), d->front_notice_s = Pick(r, s.front_notice_s);
   d->list_notice_lo = s.list_notice_s.lo, d->list_notice_hi = s.list_notice_s.hi;
   d->start_notice_lo = s.start_notice_s.lo, d->start_notice_hi = s.start_notice_s.hi;
--- a/lab/model/day.h
+++ b/lab/model/day.h
@@ -142,6 +142,7 @@
   // Clients and their front.
   int units_top = 0, retries = 0;
   double try_share = 0, backoff_s = 0, heeds_share = 0, most_retry_after_s = 0, impatient_share = 0, skew = 0;
+  double use_until_end_share = 0;
   bool backoff_grows = false;
   double shift_s = 0, front_notice_s = 0, hot_share = 0;
   Micros hot_from = kNever, hot_to = kNever;
--- a/lab/model/judge.cpp
+++ b/lab/model/judge.cpp
@@ -299,6 +299,13 @@
   open_at_[static_cast<size_t>(gateway)].clear();
 }
 
+void Judge::KilledAfterItsTime(Micros now, int gateway, Micros since) {
+  std::set<uint32_t> open = open_at_[static_cast<size_t>(gateway)];
+  for (uint32_t id : open) {
+    if (tries_[id].taken > since) Lost(now, id, "SIGKILL found it unanswered, taken late after SIGTERM");
+  }
+}
+
 void Judge::Crashed(Micros now, int gateway, const std::string& how) {
   Broke("crash", now, UINT32_MAX, "gateway " + std::to_string(gateway) + " " + how);
 }
--- a/lab/model/judge.h
+++ b/lab/model/judge.h
@@ -76,6 +76,8 @@
   // The gateway ended this request's connection without a whole answer, or never answered.
   void Lost(Micros now, uint32_t id, const std::string& how);
   void GatewayEnded(Micros now, int gateway);
+  // It is killed after the time that it had to end by itself: what it took after `since` and holds is lost.
+  void KilledAfterItsTime(Micros now, int gateway, Micros since);
   // A process of it starts: what was told to the one before counts as told from here on.
   void GatewayStarted(Micros now, int gateway) { started_[static_cast<size_t>(gateway)] = now; }
   void Crashed(Micros now, int gateway, const std::string& how);
--- a/lab/model/scenario.cpp
+++ b/lab/model/scenario.cpp
@@ -259,6 +259,9 @@
        "the longest that they heed"},
       {"clients.impatient_share", &S::impatient_share, 0, 1, false,
        "of the tries, whose client leaves early"},
+      {"clients.use_until_end_share", &S::use_until_end_share, 0, 1, false,
+       "of the tries, that go to a gateway that was told to end while a connection to it stays open; one "
+       "number, not drawn"},
       {"front.notice_s", &S::front_notice_s, 0, 60, false, "until the front sees that a gateway is down"},
       {"discovery.notice_s", &S::list_notice_s, 0, 60, false,
        "until a gateway is told that a backend drains or is gone"},
--- a/lab/model/scenario.h
+++ b/lab/model/scenario.h
@@ -75,6 +75,7 @@
   Range units_top{6, 6}, guess_cv{0.38, 0.64};
   Range retries{2, 3}, try_share{0.5, 1}, backoff_ms{60, 480}, backoff_grows{0, 1}, heeds_share{0.39, 0.88};
   Range most_retry_after_ms{2000, 2000}, impatient_share{0, 0};
+  Range use_until_end_share{0, 0};
   Range front_notice_s{0.8, 4};
   Range list_notice_s{1, 5}, start_notice_s{0.22, 2.5}, agent_ms{20, 200};
   Range calls_per_s{490, 660}, parts{2, 3}, call_ms{0.32, 1.5}, line_timeouts{0.4, 3}, timeout_ms{30, 30};
--- a/lab/play/real/clients.cpp
+++ b/lab/play/real/clients.cpp
@@ -39,8 +39,21 @@
   });
 }
 
+// After SIGTERM clients send on every connection that stays open (STANDING).
+int Clients::Pick(uint32_t arrival, int number, Micros at) const {
+  if (world_.client_router.UsesUntilEnd(arrival, number)) {
+    const Customer& customer = world_.day.customers[world_.day.arrivals[arrival].customer];
+    for (int i = 0; i < customer.spread; ++i) {
+      int gateway = (customer.first + i) % world_.day.gateways;
+      auto index = static_cast<size_t>(gateway);
+      if (world_.told_to_end_at[index] != kNever && !idle_[index].empty()) return gateway;
+    }
+  }
+  return world_.client_router.Pick(arrival, number, at);
+}
+
 void Clients::Send(uint32_t arrival, int number, Micros at) {
-  int gateway = world_.client_router.Pick(arrival, number, at);
+  int gateway = Pick(arrival, number, at);
   const Customer& customer = world_.day.customers[world_.day.arrivals[arrival].customer];
   Micros patience = world_.client_router.Patience(arrival, at);
   uint32_t id = world_.judge.Sent(at, arrival, number, gateway < 0 ? customer.first : gateway, patience);
--- a/lab/play/real/clients.h
+++ b/lab/play/real/clients.h
@@ -32,6 +32,8 @@
   };
   void Next(uint32_t arrival);
   void Send(uint32_t arrival, int number, Micros at);
+  // The gateway that the try goes to; negative: none is to be had.
+  int Pick(uint32_t arrival, int number, Micros at) const;
   void Ask(uint32_t id, bool fresh, Micros write_due);
   void Done(uint32_t id, const HttpConnection::Answer& answer);
   void Judge(uint32_t id, const HttpConnection::Answer& answer, Micros now);
--- a/lab/play/real/fleet.cpp
+++ b/lab/play/real/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <utility>
 
 #include "model/settings.h"
 #include "play/real/real_day.h"
@@ -21,6 +22,8 @@
 constexpr Micros kUpgradeLimit = 6 * kSecond;  // a new process says yes by then (LATER)
 constexpr Micros kReadyEach = 100'000;         // the front asks ten times a second (LATER)
 constexpr Micros kEndLimit = 5 * kSecond;
+// What SIGKILL finds unanswered is lost where it came so long after SIGTERM (PROTOCOL, Figures).
+constexpr Micros kTakenAfterSigterm = 700'000;
 constexpr Micros kWatchEach = 50'000;
 constexpr std::string_view kViolated = "invariant violated: ";  // as gateways say it in their logs
 constexpr uintmax_t kMostLog = uintmax_t{64}
@@ -103,6 +106,7 @@
   Member& m = members_[static_cast<size_t>(gateway)];
   std::string name = GatewayName(gateway);
   world_.judge.GatewayStarted(world_.Now(), gateway);
+  world_.told_to_end_at[static_cast<size_t>(gateway)] = kNever;
   if (!beside) {  // empty at each start, but for a new version beside the old
     m.temporary = folder_ + "/" + name + "-tmp-" + std::to_string(m.launches);
     std::filesystem::create_directory(m.temporary);
@@ -226,6 +230,7 @@
       if (!ended) break;
       Ends(g, process);
       bool newest = m.told_ended + 1 == m.processes.size();
+      if (newest) world_.told_to_end_at[static_cast<size_t>(g)] = kNever;
       if (newest && !m.expected_end && !ending_) {
         world_.judge.Crashed(world_.Now(), g, *ended);
         world_.judge.GatewayEnded(world_.Now(), g);
@@ -251,6 +256,11 @@
   m.expected_end = true;
   m.whole_day = m.ready = false;
   if (m.processes.empty() || m.processes.back()->Ended()) return;
+  Micros told_to_end_at = std::exchange(world_.told_to_end_at[static_cast<size_t>(gateway)], kNever);
+  bool had_its_time = told_to_end_at != kNever &&
+                      world_.Now() + kWatchEach >= told_to_end_at + world_.day.KillAfter() && !m.held_up;
+  if (had_its_time)
+    world_.judge.KilledAfterItsTime(world_.Now(), gateway, told_to_end_at + kTakenAfterSigterm);
   world_.judge.GatewayEnded(world_.Now(), gateway);
   SignalAll(m, SIGKILL);  // both, in the middle of an upgrade
 }
@@ -259,6 +269,8 @@
   Member& m = members_[static_cast<size_t>(gateway)];
   m.expected_end = true;
   m.whole_day = false;
+  if (!m.processes.empty() && !m.processes.back()->Ended())
+    world_.told_to_end_at[static_cast<size_t>(gateway)] = world_.Now();
   SignalAll(m, SIGTERM);
 }
 
@@ -375,7 +387,8 @@
 
 bool Fleet::Answers(int gateway, Micros sent) const {
   const Member& m = members_[static_cast<size_t>(gateway)];
-  return m.stops == 0 && !m.expected_end && m.went_on <= sent;
+  bool serves = !m.expected_end || world_.told_to_end_at[static_cast<size_t>(gateway)] != kNever;
+  return m.stops == 0 && serves && m.went_on <= sent;
 }
 
 bool Fleet::WholeDay(int gateway) const {
--- a/lab/play/real/world.h
+++ b/lab/play/real/world.h
@@ -57,6 +57,8 @@
   std::map<Ends, Micros> written_at;
   // By gateway: attempts that it may have written whole, and a path kept from their backend for good.
   std::vector<uint64_t> swallowed = std::vector<uint64_t>(static_cast<size_t>(day.gateways), 0);
+  // By gateway: when it was told to end, while its process still runs; kNever for the others.
+  std::vector<Micros> told_to_end_at = std::vector<Micros>(static_cast<size_t>(day.gateways), kNever);
   std::shared_ptr<spdlog::logger> log;  // of the lab itself
   std::vector<Micros> beside;           // of each served try: the client's time less the backend's
 };
--- a/lab/tests/fleet_test.cpp
+++ b/lab/tests/fleet_test.cpp
@@ -159,6 +159,26 @@
   }
 }
 
+// Guards against requests that a gateway takes after SIGTERM and leaves unanswered, and against reloads in a
+// row that lose one: clients use each connection that stays open, and SIGKILL comes at the protocol's
+// earliest.
+TEST(Fleet, DrawnPlansWithRestartsAndReloadsKeepTheRulesWhileClientsUseOpenConnections) {
+  FaultHunt hunt;
+  hunt.base = Shipped(
+      "faults", {"day.length_s=14", "day.settle_s=4", "fleet.gateways=8", "clients.use_until_end_share=1"});
+  hunt.base.expect = {};
+  hunt.wish.events = 6, hunt.wish.quiet_s = 4, hunt.wish.real = true, hunt.wish.operations = true;
+  hunt.first_seed = 401, hunt.last_seed = 403, hunt.jobs = 3;
+  hunt.lab = LAB_PROGRAM, hunt.gateway = LAB_GATEWAY;
+  int restarts = 0;
+  for (const json& day : Hunt(hunt)) {
+    EXPECT_EQ(day["failed"], "") << day["seed"] << ": " << day["report"]["breaches"].dump();
+    EXPECT_GT(day["report"]["counts"]["served"], 500);
+    for (const json& event : day["events"]) restarts += event == "restart" ? 1 : 0;
+  }
+  EXPECT_GT(restarts, 0);
+}
+
 // Gateways that speak to one another, with a period of 0.1 s so that a bound of 4 s is that of 14 s at the
 // fleet's pace.
 const std::vector<std::string> kQuickMembers = {"day.length_s=16", "day.settle_s=2", "load.use=0.2",
--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -13,8 +13,9 @@
 
 namespace lemonchute::net {
 
-/// Longest time that the process is assumed to be descheduled between reading its clock and writing.
-inline constexpr auto kMaxProcessStall = std::chrono::milliseconds(150);
+/// policy::kMaxProcessStallS, for times of sockets.
+inline constexpr auto kMaxProcessStall =
+    std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(policy::kMaxProcessStallS));
 /// Tolerance that the protocol's rules add to each of their time limits.
 inline constexpr auto kDeadlineSlack = std::chrono::milliseconds(50);
 
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -18,13 +18,6 @@
 constexpr double kResponseGraceS = 0.5;
 constexpr size_t kTimeoutHeaderBytes = 48;
 
-// Whether an attempt that ended so may have had its effect on the backend. As MayHaveRun in
-// policy/balancer.cpp, but kOk counts as well.
-bool MayHaveRun(AttemptResult result) {
-  return result != AttemptResult::kOverloaded && result != AttemptResult::kConnectFailed &&
-         result != AttemptResult::kNotSent;
-}
-
 // Whether a request was cut off by its client rather than by the gateway.
 bool ClosedByClient(CloseReason reason) {
   return reason == CloseReason::kClientEnded || reason == CloseReason::kSlowBody ||
@@ -245,7 +238,7 @@
   log_.Note(request->request_id, "ended", "attempt=%d backend=%u result=%s took_s=%.4f", attempt, backend,
             Name(end.result), end.took_s);
   reporting_id_ = id;
-  if (MayHaveRun(end.result)) request->may_have_run = true;
+  if (policy::MayHaveRun(end.result)) request->may_have_run = true;
   // The first good response goes to the client at once and ends the request: the client waits, the policy
   // does not.
   bool good = end.result == AttemptResult::kOk;
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -26,13 +26,6 @@
 constexpr double kMaxPollRetryS = 1.0;
 constexpr uint64_t kPollTimerTag = 1ULL << 40;
 
-// Of an attempt that did not succeed: kOk ends the request, so it is not asked about.
-// net/request_lifecycle.cpp has the rule for the final status, where kOk counts as well.
-bool MayHaveRun(AttemptResult result) {
-  return result == AttemptResult::kError || result == AttemptResult::kTimeout ||
-         result == AttemptResult::kReset || result == AttemptResult::kCancelled;
-}
-
 }  // namespace
 
 // Joins the parts: quotas first, then load shedding, then the backend.
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -7,9 +7,6 @@
 
 // Retries earned by a first attempt.
 constexpr double kRetriesPerRequest = 0.1;
-// How long a process may stand still between reading its clock and writing to a socket. Must
-// equal kMaxProcessStall in net/attempt.h.
-constexpr double kMaxProcessStallS = 0.15;
 // A silent attempt is checked after this share of the latency objective, and after so many expected
 // latencies.
 constexpr double kSilenceCheckObjectiveShare = 0.5;
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -119,6 +119,15 @@
   kNotSent,        ///< Held back here, or cancelled before it was written completely.
 };
 
+/// @return whether an attempt that ended so may have had its effect on the backend.
+constexpr bool MayHaveRun(AttemptResult result) {
+  return result != AttemptResult::kOverloaded && result != AttemptResult::kConnectFailed &&
+         result != AttemptResult::kNotSent;
+}
+
+/// Longest time that the process is assumed to be descheduled between reading its clock and writing.
+inline constexpr double kMaxProcessStallS = 0.15;
+
 /// The end of one attempt.
 struct AttemptOutcome {
   uint32_t request_id = 0;
--- a/tests/faults_script_test.sh
+++ b/tests/faults_script_test.sh
@@ -26,13 +26,15 @@
     failed=1
   fi
 }
-expect 0 3 '0 0 0'
-[ "$(grep -c -- '--real' "$folder/calls")" -eq 2 ] || { echo "not two hunts on sockets"; failed=1; }
+expect 0 4 '0 0 0 0'
+[ "$(grep -c -- '--real' "$folder/calls")" -eq 3 ] || { echo "not three hunts on sockets"; failed=1; }
 [ "$(grep -c -- '--system-faults' "$folder/calls")" -eq 1 ] || { echo "no hunt with failing calls"; failed=1; }
-[ "$(grep -c -- '--seeds 1..5 --gateways 3' "$folder/calls")" -eq 3 ] || { echo "other plans than asked for"; failed=1; }
-expect 1 3 '1 0 0'
-expect 1 3 '0 1 0'
-expect 1 3 '0 0 1'
-expect 2 1 '2 0 0'
-expect 3 2 '0 3 0'
+[ "$(grep -c -- '--operations' "$folder/calls")" -eq 1 ] || { echo "no hunt with restarts"; failed=1; }
+[ "$(grep -c -- '--seeds 1..5 --gateways 3' "$folder/calls")" -eq 4 ] || { echo "other plans than asked for"; failed=1; }
+expect 1 4 '1 0 0 0'
+expect 1 4 '0 1 0 0'
+expect 1 4 '0 0 1 0'
+expect 1 4 '0 0 0 1'
+expect 2 1 '2 0 0 0'
+expect 3 2 '0 3 0 0'
 exit "$failed"
