--- a/lab/model/client_router.h
+++ b/lab/model/client_router.h
@@ -24,9 +24,9 @@
 
   // A try's own patience, from its sending.
   Micros Patience(uint32_t arrival, Micros now) const;
-  // Where the client leaves before its patience ends: when, from its sending.
   // Whether that try goes on using a connection to a gateway that was told to end.
   bool UsesUntilEnd(uint32_t arrival, int number) const;
+  // Where the client leaves before its patience ends: when, from its sending.
   std::optional<Micros> LeavesAfter(uint32_t arrival, int number, Micros patience) const;
   // When the client tries again after a failure; none where it does not. `retry_after_s` is 0 for no advice.
   std::optional<Micros> Again(uint32_t arrival, int number, Micros now, double retry_after_s) const;
--- a/lab/play/real/clients.h
+++ b/lab/play/real/clients.h
@@ -20,7 +20,8 @@
           std::function<bool(int gateway, Micros sent)> answers);
   void Begin();                           // the day's arrivals, one after another
   size_t Connections(int gateway) const;  // that clients hold to it
-  // Exchanges that would have been judged as late for nothing but the lab's own lag.
+  // Exchanges that were open at the end of their time and the grace and that the lab had written, or read,
+  // late by any amount; with those of gateways that owed no answer then.
   uint64_t delayed_by_lab() const { return delayed_by_lab_; }
 
  private:
