--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -11,7 +11,7 @@
   kill -STOP "${backends[0]}"
   say "s-1 hangs from here on (SIGSTOP)"
 fi
-clients upload --clients 60 --every-ms 1 --from-kb 3900 --to-kb 4700 --timeout-ms 2500 --give-up-s 15
+clients upload --clients 60 --every-ms 1 --from-kb 3900 --to-kb 6400 --timeout-ms 2500 --give-up-s 15
 status=$?
 count_ended
 say "result: clients' status $status"
