Count and log why attempts end, and log when an upload's last byte was read

New: metrics ended.CAUSE, cause= in the trace line 'ended', and the trace line 'received'.

Tests of requests, streams, attempts and the admin endpoint pass.

--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "net/reasons.h"
 #include "policy/balancer.h"
 
 namespace lemonchute::net {
@@ -22,6 +23,7 @@
 /// Outcome of one attempt. Reported exactly once, unless the attempt is cancelled.
 struct AttemptEnd {
   policy::AttemptResult result = policy::AttemptResult::kOk;
+  AttemptEndCause cause = AttemptEndCause::kResponse;
   bool streamed = false;  ///< Header and body were delivered through AttemptStream and are not here.
   double duration_s = 0;  ///< Time from BackendPool::Send to the end of the attempt.
   /// The part of `duration_s` that was not spent at the backend: until the last byte of a streamed request,
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -12,6 +12,7 @@
 namespace lemonchute::net {
 
 using policy::AttemptResult;
+using Cause = AttemptEndCause;
 
 namespace {
 
@@ -147,21 +148,22 @@
 void BackendConnection::OnTimer() {
   if (!busy_) return RemoveAndClose();
   if (streaming_response_ && HasResponseDeadline() && Clock::now() >= deadline_ + kLateResponseGrace)
-    return Finish(AttemptResult::kReset);
+    return Finish(AttemptResult::kReset, Cause::kResponseDeadline);
   if (streaming_response_) {
     // Waiting for the client to consume a piece is no stall: the client's own write timeout applies.
     auto stalled_at = (awaiting_consumer_ ? Clock::now() : last_read_at_) + kStallTimeout;
-    return Clock::now() < stalled_at ? WaitForStream(stalled_at) : Finish(AttemptResult::kReset);
+    return Clock::now() < stalled_at ? WaitForStream(stalled_at)
+                                     : Finish(AttemptResult::kReset, Cause::kResponseStalled);
   }
   if (streamed_request_ && !written_ && open_ && Clock::now() < deadline_) {
     // Waiting for the next piece from the client is no stall.
     auto stalled_at = (awaiting_upload_ ? Clock::now() : last_write_at_) + kStallTimeout;
     if (Clock::now() < stalled_at) return WaitUntil(std::min(stalled_at, deadline_));
   }
+  if (written_) return Finish(AttemptResult::kTimeout, Cause::kTimeout);
   // A request that was not written completely has not been executed.
-  Finish(written_          ? AttemptResult::kTimeout
-         : local_shortage_ ? AttemptResult::kNotSent
-                           : AttemptResult::kConnectFailed);
+  Finish(local_shortage_ ? AttemptResult::kNotSent : AttemptResult::kConnectFailed,
+         open_ ? Cause::kRequestStalled : Cause::kNotConnected);
 }
 
 // Whether a streamed response must end by the request's deadline. A response larger than kMaxBody only has to
@@ -192,7 +194,7 @@
 // A local resource shortage says nothing about the backend and may be over in a moment. The connect is
 // retried here, since an attempt on another backend would fail in the same way.
 void BackendConnection::OnConnectFailed(error_code error) {
-  if (!IsResourceShortage(error.value())) return Finish(AttemptResult::kConnectFailed);
+  if (!IsResourceShortage(error.value())) return Finish(AttemptResult::kConnectFailed, Cause::kNotConnected);
   local_shortage_ = true;
   CloseNow(socket_);
   connect_backoff_ =
@@ -255,7 +257,7 @@
     }
     // The last byte was not written, so the request has not begun. Posted, as the caller may be in Start.
     asio::post(pool_->io_, [self, this, current] {
-      if (busy_ && attempt_ == current) Finish(AttemptResult::kConnectFailed);
+      if (busy_ && attempt_ == current) Finish(AttemptResult::kConnectFailed, Cause::kConnectionEnded);
     });
   });
 }
@@ -284,6 +286,7 @@
     if (!busy_ || attempt_ != current) return;
     AttemptEnd end;
     end.result = result;
+    end.cause = Cause::kNotAllowed;
     Finish(std::move(end), !closed_);
   });
 }
@@ -303,7 +306,7 @@
     error_code incomplete;
     if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(incomplete);
     if (error == asio::error::eof && !incomplete && parser_->is_done()) return OnResponse(false);
-    Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed);
+    Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed, Cause::kConnectionEnded);
   };
   socket_.async_read_some(buffer_.prepare(streaming_response_ ? kMaxPieceBytes : kReadChunk),
                           std::move(on_read));
@@ -317,17 +320,19 @@
   error_code error = Decode();
   // Malformed, or over a size limit.
   if (error && error != http::error::need_more)
-    return Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed);
+    return Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed,
+                  Cause::kMalformedResponse);
   if (written_ && parser_->is_header_done() && !streaming_response_ && ShouldStream()) {
     if (parser_->get().result_int() != 200) return OnResponse(false);  // the body is not needed
-    if (!BeginStream()) return Finish(AttemptResult::kCancelled);
+    if (!BeginStream()) return Finish(AttemptResult::kCancelled, Cause::kCancelled);
   }
   // A response this large can't belong to a request that is not written completely.
-  if (!written_ && body_.size() > kMaxBody) return Finish(AttemptResult::kConnectFailed);
+  if (!written_ && body_.size() > kMaxBody)
+    return Finish(AttemptResult::kConnectFailed, Cause::kEarlyResponse);
   if (streaming_response_ && !body_.empty()) DeliverPiece();
   if (closed_ || awaiting_consumer_ || !parser_->is_done()) return;
   // A response to an incomplete request: the request has not begun, and the framing is unreliable.
-  if (!written_) return Finish(AttemptResult::kConnectFailed);
+  if (!written_) return Finish(AttemptResult::kConnectFailed, Cause::kEarlyResponse);
   OnResponse(parser_->keep_alive() && buffer_.size() == 0);
 }
 
@@ -389,6 +394,7 @@
 
 void BackendConnection::OnResponse(bool keep_alive) {
   AttemptEnd end;
+  end.cause = Cause::kResponse;
   end.streamed = streaming_response_;
   auto& response = parser_->get();
   unsigned status = response.result_int();
@@ -405,9 +411,10 @@
   Finish(std::move(end), keep_alive);
 }
 
-void BackendConnection::Finish(AttemptResult result) {
+void BackendConnection::Finish(AttemptResult result, Cause cause) {
   AttemptEnd end;
   end.result = result;
+  end.cause = cause;
   end.streamed = streaming_response_;
   Finish(std::move(end), false);
 }
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -81,7 +81,7 @@
   void DeliverPiece();
   void OnResponse(bool keep_alive);
 
-  void Finish(policy::AttemptResult result);
+  void Finish(policy::AttemptResult result, AttemptEndCause cause);
   void Finish(AttemptEnd end, bool keep_alive);
 
   BackendPool* pool_;
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -157,6 +157,7 @@
     asio::post(io_, [done = std::move(done)] {
       AttemptEnd end;
       end.result = AttemptResult::kConnectFailed;
+      end.cause = AttemptEndCause::kNotConnected;
       done(std::move(end));
     });
     return attempt;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -34,6 +34,7 @@
     counts.ForEach([&](const char* name, uint64_t count) { write(prefix + "." + name, count); });
   };
   write_each("attempts", metrics.attempts);
+  write_each("ended", metrics.ended);
   write_each("retried", metrics.retried);
   write_each("refused", metrics.refused);
   write_each("held_back", metrics.held_back);
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -30,6 +30,7 @@
   uint64_t clock_steps = 0;                                                   // steps of the wall clock
   CountsBy<policy::AttemptResult, policy::AttemptResult::kNotSent> attempts;  // by their result
   CountsBy<policy::AttemptResult, policy::AttemptResult::kNotSent> retried;   // by the previous result
+  CountsBy<AttemptEndCause, AttemptEndCause::kCount> ended;                   // attempts by their cause
   CountsBy<policy::RejectReason, policy::RejectReason::kCount> refused;
   CountsBy<SendVerdict, SendVerdict::kUnsafeRepeat> held_back;  // attempts that were not sent
   CountsBy<CloseReason, CloseReason::kCount> closed;            // connections of clients
--- a/src/net/reasons.h
+++ b/src/net/reasons.h
@@ -57,6 +57,40 @@
   return "unknown";
 }
 
+/// Why an attempt ended. Several causes have the same result.
+enum class AttemptEndCause {
+  kResponse,           // a complete response
+  kNotConnected,       // the connection was refused or did not open in time
+  kNotAllowed,         // the checks before the first byte failed
+  kRequestStalled,     // the backend did not accept the whole request in time
+  kTimeout,            // no response in time
+  kResponseDeadline,   // a response that had begun was not complete in time
+  kResponseStalled,    // a response that had begun made no progress
+  kMalformedResponse,  // a response that is not HTTP, or exceeds a size limit
+  kEarlyResponse,      // a response before the request was written completely
+  kConnectionEnded,    // the backend or the network ended the connection
+  kCancelled,          // by the gateway, which no longer needs the response
+  kCount,
+};
+
+inline const char* Name(AttemptEndCause cause) {
+  switch (cause) {
+    case AttemptEndCause::kResponse: return "response";
+    case AttemptEndCause::kNotConnected: return "not_connected";
+    case AttemptEndCause::kNotAllowed: return "not_allowed";
+    case AttemptEndCause::kRequestStalled: return "request_stalled";
+    case AttemptEndCause::kTimeout: return "timeout";
+    case AttemptEndCause::kResponseDeadline: return "response_deadline";
+    case AttemptEndCause::kResponseStalled: return "response_stalled";
+    case AttemptEndCause::kMalformedResponse: return "malformed_response";
+    case AttemptEndCause::kEarlyResponse: return "early_response";
+    case AttemptEndCause::kConnectionEnded: return "connection_ended";
+    case AttemptEndCause::kCancelled: return "cancelled";
+    case AttemptEndCause::kCount: break;
+  }
+  return "unknown";
+}
+
 inline const char* Name(policy::RejectReason reason) {
   using policy::RejectReason;
   switch (reason) {
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -100,7 +100,9 @@
   if (attempt > 0) metrics_.retried.Add(request.attempts.back().result);
   request.attempts.push_back({});
   request.attempts.back().in_flight = true;
-  if (verdict != SendVerdict::kSend) return PostAttemptEnd(id, attempt, backend, AttemptResult::kNotSent);
+  if (verdict != SendVerdict::kSend) {
+    return PostAttemptEnd(id, attempt, backend, AttemptResult::kNotSent, AttemptEndCause::kNotAllowed);
+  }
   double left_s = std::chrono::duration<double>(request.deadline - Clock::now()).count();
   double timeout_s = action.duration_s == 0 ? left_s : std::min(action.duration_s, left_s);
   AttemptMessage message = MakeAttemptMessage(id, request, attempt);
@@ -192,7 +194,9 @@
 void RequestLifecycle::OnUploadEnd(uint32_t id) {
   InFlightRequest* request = Find(id);
   if (request == nullptr) return;
-  request->deadline = Clock::now() + Seconds(std::min(request->timeout_s, process_.RemainingLifetimeS()));
+  double left_s = std::min(request->timeout_s, process_.RemainingLifetimeS());
+  log_.Log(request->request_id, "received", "left_s=%.3f", left_s);
+  request->deadline = Clock::now() + Seconds(left_s);
   timers_.Add(request->deadline, TimerKind::kResponseDeadline, id);
 }
 
@@ -218,13 +222,16 @@
   // If false the attempt has already ended, and its own outcome will be reported.
   if (!pool_.Cancel(request->attempts[index].pool_attempt, &may_have_run)) return;
   // An attempt that was not written completely has not run, whatever the idempotency of the request.
-  PostAttemptEnd(id, attempt, backend, may_have_run ? AttemptResult::kCancelled : AttemptResult::kNotSent);
+  PostAttemptEnd(id, attempt, backend, may_have_run ? AttemptResult::kCancelled : AttemptResult::kNotSent,
+                 AttemptEndCause::kCancelled);
 }
 
-void RequestLifecycle::PostAttemptEnd(uint32_t id, int attempt, uint32_t backend, AttemptResult result) {
-  asio::post(io_, [this, id, attempt, backend, result] {
+void RequestLifecycle::PostAttemptEnd(uint32_t id, int attempt, uint32_t backend, AttemptResult result,
+                                      AttemptEndCause cause) {
+  asio::post(io_, [this, id, attempt, backend, result, cause] {
     AttemptEnd end;
     end.result = result;
+    end.cause = cause;
     OnAttemptEnd(id, attempt, backend, std::move(end));
   });
 }
@@ -236,8 +243,9 @@
   ended.in_flight = false;
   ended.result = end.result;
   metrics_.attempts.Add(end.result);
-  log_.Log(request->request_id, "ended", "attempt=%d backend=%u result=%s took_s=%.4f", attempt, backend,
-           Name(end.result), end.duration_s);
+  metrics_.ended.Add(end.cause);
+  log_.Log(request->request_id, "ended", "attempt=%d backend=%u result=%s cause=%s took_s=%.4f", attempt,
+           backend, Name(end.result), Name(end.cause), end.duration_s);
   reporting_id_ = id;
   if (policy::MayHaveRun(end.result)) request->may_have_run = true;
   // The first good response is sent to the client before the outcome is reported to the policy, because the
@@ -324,7 +332,7 @@
   for (size_t i = 0; i < request.attempts.size(); ++i) {
     const InFlightAttempt& attempt = request.attempts[i];
     if (!attempt.in_flight || !pool_.CancelIfConnecting(attempt.pool_attempt)) continue;
-    PostAttemptEnd(id, static_cast<int>(i), 0, AttemptResult::kNotSent);
+    PostAttemptEnd(id, static_cast<int>(i), 0, AttemptResult::kNotSent, AttemptEndCause::kCancelled);
   }
 }
 
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -81,7 +81,8 @@
   bool OnResponseStarted(uint32_t id, int attempt, const std::string& headers,
                          std::optional<uint64_t> length);
 
-  void PostAttemptEnd(uint32_t id, int attempt, uint32_t backend, policy::AttemptResult result);
+  void PostAttemptEnd(uint32_t id, int attempt, uint32_t backend, policy::AttemptResult result,
+                      AttemptEndCause cause);
   void OnAttemptEnd(uint32_t id, int attempt, uint32_t backend, AttemptEnd end);
   void ReportOutcome(uint32_t id, int attempt, uint32_t backend, const AttemptEnd& end);
 
