--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -3,42 +3,15 @@
 #include <memory>
 #include <set>
 
+#include "client_runners.h"
 #include "gateway_site.h"
 #include "net/backend_pool.h"
-#include "net/discovery_client.h"
 
 namespace {
 
 using namespace rig;  // NOLINT
 using Clock = std::chrono::steady_clock;
 
-std::string ListResponse(uint64_t index, const json& entries, bool full) {
-  return OkResponse(json{{"index", index}, {"snapshot", full}, {"endpoints", entries}}.dump(1));  // indented
-}
-
-// Runs a discovery client against the given agent until the agent stops the event loop.
-struct DiscoveryClientRunner {
-  explicit DiscoveryClientRunner(Server::Handler agent) : server(std::move(agent)) {}
-  void Run() {
-    client.Start();
-    auto keep_running = boost::asio::make_work_guard(io);
-    io.run();
-    client.Stop();
-    server.Stop();
-  }
-  boost::asio::io_context io{1};
-  Server server;
-  lemonchute::net::BackendIds ids;
-  lemonchute::net::DiscoveryClient client{
-      io,
-      {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(server.port())},
-      std::make_shared<const lemonchute::policy::SocketSettings>(),
-      &ids,
-      [](const lemonchute::net::BackendList&) {},
-      [] {},
-      1};
-};
-
 // A change that a silent watch misses counts as known 6 s after the watch fell silent, so a new watch must
 // have been opened by then.
 TEST(Watch, SilentWatchIsReopenedBeforeMissedChangesCountAsKnown) {
--- a/tests/gateway_site.h
+++ b/tests/gateway_site.h
@@ -116,6 +116,38 @@
   EXPECT_EQ(ReadMetric(port, name), value);
 }
 
+// Text in which every position is distinguishable, so that lost or misplaced bytes are detected.
+inline std::string NumberedText(size_t size) {
+  std::string text;
+  for (size_t i = 0; text.size() < size; ++i) text += std::to_string(i) + ",";
+  return text.substr(0, size);
+}
+
+// `body` in chunks of at most `max_chunk` bytes, with chunk extensions and without the last chunk.
+inline std::string ChunkedBody(const std::string& body, size_t max_chunk) {
+  std::string text;
+  char size[40];
+  for (size_t offset = 0; offset < body.size(); offset += max_chunk) {
+    std::string piece = body.substr(offset, max_chunk);
+    std::snprintf(size, sizeof(size), "%zX;note=\"a;b\"\r\n", piece.size());
+    text += size + piece + "\r\n";
+  }
+  return text;
+}
+
+// Reads a chunked body up to its last chunk, or returns a text that says what is missing.
+inline std::string ReadChunkedBody(Connection& connection) {
+  std::string body;
+  for (;;) {
+    std::string line = connection.ReadUntil("\r\n");
+    size_t size = std::strtoul(line.c_str(), nullptr, 16);
+    if (size == 0) return line == "0\r\n" ? body : "no last chunk";
+    if (!connection.ReadUntil(size + 2)) return "cut";
+    body += connection.unread.substr(0, size);
+    connection.unread.erase(0, size + 2);
+  }
+}
+
 // The platform's side of an upgrade: starts processes that share a listening socket for clients and a folder.
 struct UpgradeFixture {
   UpgradeFixture() { discovery.SetList(json::array({EndpointEntry("s1", backend.port())})); }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -4,9 +4,8 @@
 #include <chrono>
 #include <memory>
 
+#include "client_runners.h"
 #include "gateway_site.h"
-#include "net/counter_client.h"
-#include "net/discovery_client.h"
 #include "net/peer_process.h"
 
 namespace {
@@ -787,38 +786,6 @@
   EXPECT_EQ(ReadMetric(fixture.gateway->admin_port, "config_applied"), 0);
 }
 
-// Text in which every position is distinguishable, so that lost or misplaced bytes are detected.
-std::string NumberedText(size_t size) {
-  std::string text;
-  for (size_t i = 0; text.size() < size; ++i) text += std::to_string(i) + ",";
-  return text.substr(0, size);
-}
-
-// `body` in chunks of at most `max_chunk` bytes, with chunk extensions and without the last chunk.
-std::string ChunkedBody(const std::string& body, size_t max_chunk) {
-  std::string text;
-  char size[40];
-  for (size_t offset = 0; offset < body.size(); offset += max_chunk) {
-    std::string piece = body.substr(offset, max_chunk);
-    std::snprintf(size, sizeof(size), "%zX;note=\"a;b\"\r\n", piece.size());
-    text += size + piece + "\r\n";
-  }
-  return text;
-}
-
-// Reads a chunked body up to its last chunk, or returns a text that says what is missing.
-std::string ReadChunkedBody(Connection& connection) {
-  std::string body;
-  for (;;) {
-    std::string line = connection.ReadUntil("\r\n");
-    size_t size = std::strtoul(line.c_str(), nullptr, 16);
-    if (size == 0) return line == "0\r\n" ? body : "no last chunk";
-    if (!connection.ReadUntil(size + 2)) return "cut";
-    body += connection.unread.substr(0, size);
-    connection.unread.erase(0, size + 2);
-  }
-}
-
 // A large response is forwarded while it is still arriving, whether it is delimited by its length, by chunks
 // or by the end of the connection.
 TEST(Stream, ForwardsALargeResponseAsItArrives) {
@@ -1118,21 +1085,6 @@
   EXPECT_EQ(first.entries[1].backend.id, second.entries[0].backend.id);
 }
 
-// Drives a counter client directly: runs its event loop until `done`.
-struct CounterClientRunner {
-  CounterClientRunner(int port, double timeout_s)
-      : client(io, {boost::asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, timeout_s, 5,
-               [this](lemonchute::policy::CounterResponse response) { responses.push_back(response); }) {}
-  void RunUntil(const std::function<bool()>& done) {
-    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(kEventTimeoutS);
-    while (!done() && std::chrono::steady_clock::now() < end) io.run_one_for(std::chrono::milliseconds(50));
-    EXPECT_TRUE(done());
-  }
-  boost::asio::io_context io;
-  std::vector<lemonchute::policy::CounterResponse> responses;
-  lemonchute::net::CounterClient client;
-};
-
 // A reply that arrives after its call has timed out is matched to that call and not to the next one.
 TEST(CounterClient, MatchesLateRepliesToTheirOwnCalls) {
   Event release;
