Limit what stays unparsed of a message, whichever element of it never ends

Cause: Beast's parser consumes an element only as a whole and asks for more until it has it. It limits the header, but neither a trailer section nor the line of a chunk's size. BackendConnection::Parse took need_more for sound however much was buffered, and Read() called prepare() on a buffer that is limited to 80 KiB, which throws std::length_error through io_context::run to main. AdminServer::Connection::Read did the same after 16 KiB. DiscoveryClient::Read had no limit on its buffer at all: such a list was buffered for as long as its call lasted. ClientConnection::Decode had the check.

Change: the check stands once, in net/message_decoding, and all four readers use it: an incomplete element over 16 KiB (8 KiB at the admin endpoint) is an error like an oversized header. With it the buffers hold one incomplete element and one read, so prepare() can't exceed them. The attempt ends as a reset, cause malformed_response; the caller of the admin endpoint gets 431; discovery's call fails and is repeated.

--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -1,5 +1,7 @@
 #include "net/admin_server.h"
 
+#include "net/message_decoding.h"
+
 namespace lemonchute::net {
 namespace {
 
@@ -66,15 +68,10 @@
   }
 
   void Parse() {
-    error_code error;
-    while (buffer_.size() > 0 && !parser_->is_done() && !error) {
-      buffer_.consume(parser_->put(buffer_.data(), error));
-    }
-    if (error == http::error::need_more) error = {};
+    error_code error = ParseMessage(*parser_, buffer_, kMaxHeadBytes);
     if (error == http::error::body_limit) return Respond({413, "a body of at most 131072 bytes\n"});
     if (error == http::error::header_limit) return Respond({431, "a head of at most 8192 bytes\n"});
-    if (error || (!parser_->is_header_done() && buffer_.size() > kMaxHeadBytes))
-      return Respond({400, "not a call\n"});
+    if (error) return Respond({400, "not a call\n"});
     if (parser_->is_done()) {
       const auto& request = parser_->get();
       bool declares_body = request.count(http::field::content_length) > 0 || request.chunked();
@@ -108,7 +105,7 @@
   AdminServer* server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
-  boost::beast::flat_buffer buffer_{kMaxHeadBytes + 2 * kReadChunk};
+  boost::beast::flat_buffer buffer_{kMaxHeadBytes + kReadChunk};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string message_;
   size_t trailing_bytes_ = 0;
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "net/backend_pool.h"
+#include "net/message_decoding.h"
 
 namespace lemonchute::net {
 
@@ -319,7 +320,7 @@
 void BackendConnection::Parse() {
   error_code error = Decode();
   // Malformed, or over a size limit.
-  if (error && error != http::error::need_more)
+  if (error)
     return Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed,
                   Cause::kMalformedResponse);
   if (written_ && parser_->is_header_done() && !streaming_response_ && ShouldStream()) {
@@ -339,21 +340,12 @@
 // Feeds the buffered bytes to the parser and appends the decoded body to `body_`. Skips interim responses.
 error_code BackendConnection::Decode() {
   error_code error;
-  auto& decoded = pool_->decode_buffer_;
   while (buffer_.size() > 0 && !parser_->is_done() && !error) {
-    auto& piece = parser_->get().body();
-    piece.data = decoded.data();
-    piece.size = decoded.size();
-    bool had_header = parser_->is_header_done();
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    if (parser_->is_header_done()) body_.append(decoded.data(), decoded.size() - piece.size);
-    if (error == http::error::need_buffer) error = {};
-    if (!error && !had_header && parser_->is_header_done() && !HasUnambiguousFraming(parser_->get()))
-      error = http::error::bad_transfer_encoding;
+    error = DecodeBody(*parser_, buffer_, pool_->decode_buffer_, &body_);
     bool interim = !error && parser_->is_done() && parser_->get().result_int() / 100 == 1;
     if (interim) ResetParser(&parser_, kMaxStreamedBytes);
   }
-  return error;
+  return error == http::error::need_more ? error_code() : error;
 }
 
 // Whether to stream the response instead of buffering it. A response of unknown length is streamed early,
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -88,10 +88,10 @@
   const uint32_t backend_;
   const tcp::endpoint address_;
   tcp::socket socket_;
-  bool open_ = false;     // connected
-  bool closed_ = false;   // never opened again
-  bool reading_ = false;  // a read is pending
-  boost::beast::flat_buffer buffer_{kMaxBody + kMaxHeader};
+  bool open_ = false;                                              // connected
+  bool closed_ = false;                                            // never opened again
+  bool reading_ = false;                                           // a read is pending
+  boost::beast::flat_buffer buffer_{kMaxHeader + kMaxPieceBytes};  // an incomplete element and one read
 
   // While idle.
   std::optional<std::list<BackendConnection*>::iterator> idle_position_;  // in the pool's idle order
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <span>
 #include <utility>
 
 #include "net/client_server.h"
+#include "net/message_decoding.h"
 
 namespace lemonchute::net {
 namespace {
@@ -238,26 +240,12 @@
 // unreliable, and the connection must end.
 error_code ClientConnection::Decode(size_t max_body) {
   error_code error;
-  auto& decoded = server_->decode_buffer_;
-  while (buffer_.size() > 0 && !parser_->is_done() && body_.size() < max_body) {
-    auto& piece = parser_->get().body();
-    size_t capacity = std::min(decoded.size(), max_body - body_.size());
-    piece.data = decoded.data();
-    piece.size = capacity;
-    bool had_header = parser_->is_header_done();
-    buffer_.consume(parser_->put(buffer_.data(), error));
-    if (parser_->is_header_done()) body_.append(decoded.data(), capacity - piece.size);
-    if (error == http::error::need_buffer) error = {};
-    if (error == http::error::need_more) {
-      // The parser keeps an incomplete header in the buffer and checks its size only when it is complete.
-      return buffer_.size() > kMaxHeader ? make_error_code(http::error::header_limit) : error_code();
-    }
-    if (!error && !had_header && parser_->is_header_done() && !HasUnambiguousFraming(parser_->get())) {
-      error = http::error::bad_transfer_encoding;
-    }
-    if (error) return error;
+  std::span<char> scratch = server_->decode_buffer_;
+  while (buffer_.size() > 0 && !parser_->is_done() && body_.size() < max_body && !error) {
+    size_t capacity = std::min(scratch.size(), max_body - body_.size());
+    error = DecodeBody(*parser_, buffer_, scratch.first(capacity), &body_);
   }
-  return {};
+  return error == http::error::need_more ? error_code() : error;
 }
 
 // Sends 100 Continue, once, if the client waits for it.
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "net/message_decoding.h"
+
 namespace lemonchute::net {
 namespace {
 
@@ -154,10 +156,7 @@
   } else if (error) {
     return OnFailure();
   }
-  while (buffer_.size() > 0 && !parser_->is_done() && !malformed) {
-    buffer_.consume(parser_->put(buffer_.data(), malformed));
-  }
-  if (malformed == http::error::need_more) malformed = {};
+  if (!malformed) malformed = ParseMessage(*parser_, buffer_, kMaxHeader);
   if (malformed) return OnFailure();
   if (parser_->is_done()) return OnResponse();
   if (error) return OnFailure();
--- a/src/net/discovery_client.h
+++ b/src/net/discovery_client.h
@@ -64,8 +64,8 @@
   OnList on_list_;
   OnFailed on_failed_;
   tcp::socket socket_;
-  asio::steady_timer timer_;  // timeout of a call, then the backoff
-  boost::beast::flat_buffer buffer_;
+  asio::steady_timer timer_;                                   // timeout of a call, then the backoff
+  boost::beast::flat_buffer buffer_{kMaxHeader + kReadChunk};  // an incomplete element and one read
   std::optional<http::response_parser<http::string_body>> parser_;
   std::string request_;
   std::optional<uint64_t> index_;  // version of the latest list
