Count only bytes of the body as progress of a streamed response

A backend that had sent more than 64 KiB of a response and then trickled bytes of a trailer or of a chunk's extension kept the attempt and its client's connection: each byte that was read restarted the 10 s after which a response counts as stalled, and 16 KiB at a byte per second are 4.5 hours. Progress is now a part of the body that was passed on.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -152,7 +152,7 @@
     return Finish(AttemptResult::kReset, Cause::kResponseDeadline);
   if (streaming_response_) {
     // Waiting for the client to consume a piece is no stall: the client's own write timeout applies.
-    auto stalled_at = (awaiting_consumer_ ? Clock::now() : last_read_at_) + kStallTimeout;
+    auto stalled_at = (awaiting_consumer_ ? Clock::now() : last_progress_at_) + kStallTimeout;
     return Clock::now() < stalled_at ? WaitForStream(stalled_at)
                                      : Finish(AttemptResult::kReset, Cause::kResponseStalled);
   }
@@ -300,7 +300,6 @@
     buffer_.commit(size);
     if (!busy_) return RemoveAndClose();  // closed by the backend while idle, or unsolicited bytes
     if (!error) {
-      last_read_at_ = Clock::now();
       Parse();
       return ContinueReading();
     }
@@ -363,8 +362,8 @@
   std::string headers;
   AppendClientHeaders(parser_->get(), &headers);
   auto length = parser_->content_length();
-  last_read_at_ = Clock::now();
-  WaitForStream(last_read_at_ + kStallTimeout);
+  last_progress_at_ = Clock::now();
+  WaitForStream(last_progress_at_ + kStallTimeout);
   return stream_.on_begin(std::move(headers), length ? std::optional<uint64_t>(*length) : std::nullopt);
 }
 
@@ -376,7 +375,7 @@
   stream_.on_piece(std::move(piece), [self = shared_from_this(), this, current = attempt_] {
     if (closed_ || attempt_ != current) return;
     awaiting_consumer_ = false;
-    last_read_at_ = Clock::now();
+    last_progress_at_ = Clock::now();
     if (delivering_) return;  // consumed within the call: the caller continues
     Parse();
     ContinueReading();
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -131,7 +131,7 @@
   bool awaiting_consumer_ = false;   // a piece was delivered and not yet consumed
   bool delivering_ = false;          // within the call that delivers a piece
   size_t delivered_bytes_ = 0;
-  Clock::time_point last_read_at_;
+  Clock::time_point last_progress_at_;  // when a part of the body was last delivered or consumed
 };
 
 }  // namespace lemonchute::net
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -51,6 +51,28 @@
   }
 }
 
+// Guards against: a trailer that trickles counted as progress, so that the connections stayed open for hours.
+TEST(MisbehavingBackend, TrailerThatTricklesAfterALargeResponseIsCutOff) {
+  Backend backend([](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     ChunkedBody(std::string(100000, 'b'), 5000) + "0\r\nX-Note: ");
+    while (connection.IsOpen()) {
+      connection.Write("x");
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return std::string();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                         kAdminEnvironment);
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote"));
+  auto sent_at = Clock::now();
+  EXPECT_EQ(ReadChunkedBody(*client).size(), std::string("no last chunk").size());
+  EXPECT_LT(Clock::now() - sent_at, std::chrono::seconds(30))
+      << "the limit is 10 s without a byte of the body";
+  AwaitMetric(fixture.gateway->admin_port, "ended.response_stalled", 1);
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
