Reject replies of the counter that declare an array

The counter sends bulk strings and errors only, so the reader now refuses arrays; the connection is closed and its calls end as failed.

--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -36,6 +36,19 @@
   void operator()(redisReader* reader) const { redisReaderFree(reader); }
 };
 
+// A reader that rejects arrays. The counter sends none, and hiredis allocates as many elements as a reply
+// declares, which takes seconds for a large number.
+redisReader* CreateReader() {
+  redisReader* reader = redisReaderCreate();
+  static redisReplyObjectFunctions functions = [reader] {
+    redisReplyObjectFunctions result = *reader->fn;
+    result.createArray = [](const redisReadTask*, auto) -> void* { return nullptr; };
+    return result;
+  }();
+  reader->fn = &functions;
+  return reader;
+}
+
 // TALLY with its key, amount and retention in milliseconds, as a RESP2 array of bulk strings.
 std::string FormatCall(uint64_t counter, double amount, double retention_s) {
   char key[17], sum[64], retention[16];
@@ -60,7 +73,7 @@
 class CounterClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(CounterClient* client)
-      : client_(client), socket_(client->io_), timer_(client->io_), reader_(redisReaderCreate()) {}
+      : client_(client), socket_(client->io_), timer_(client->io_), reader_(CreateReader()) {}
 
   bool open() const { return open_; }
   size_t in_flight() const { return calls_.size(); }
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -128,4 +128,22 @@
   }
 }
 
+// Guards against: a reply that declares two billion elements kept the event loop busy for seconds.
+TEST(MisbehavingCounter, ReplyThatDeclaresAHugeArrayDoesNotBlockTheEventLoop) {
+  std::atomic<int> calls{0};
+  Counter counter(
+      [&](const std::string&, double) { return ++calls == 1 ? "*2147483647\r\n" : BulkString("5"); });
+  CounterClientRunner runner(counter.port(), 30);
+  auto called_at = Clock::now();
+  runner.client.Call(1, 1, 5);
+  runner.RunUntil([&] { return runner.responses.size() == 1; });
+  EXPECT_EQ(runner.responses[0].result, lemonchute::policy::AttemptResult::kTimeout);
+  for (size_t calls_made = 2; runner.responses.back().result != lemonchute::policy::AttemptResult::kOk;) {
+    runner.client.Call(calls_made, 1, 5);
+    runner.RunUntil([&] { return runner.responses.size() == calls_made; });
+    ++calls_made;
+  }
+  EXPECT_LT(Clock::now() - called_at, std::chrono::seconds(3));
+}
+
 }  // namespace
