Count an upload's time from its last byte also while the backend accepts nothing

Cause: the client's timeout began in RequestLifecycle::OnUploadEnd, when the gateway read the last byte. Until then the deadline is that of the upload, a second more for each 64 KB (ComputeTimeLimits). Reading pauses while the backend accepts nothing (BackendConnection::RequestNextPiece, ClientConnection::Pull), so the last byte, long arrived, was not read before kStallTimeout ended the attempt after 10 s. The trace of the case as found: taken left_s=88.112, no 'received', ended cause=request_stalled took_s=10.1195, answered past_deadline_s=-77.99.

Change: the connection knows until when the request was surely incomplete: its socket and its buffer held nothing unread, or by its Content-Length more is missing than two sockets' buffers hold. From there the client's timeout counts, while the upload lasts and at its end. When it is over, the attempt that is not written completely ends as its backend's failure (request_stalled, it has not run), so the client gets 503 and the backend counts towards ejection. A client that is slow or pauses still has its time from its last byte on.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -161,8 +161,10 @@
     auto stalled_at = (awaiting_upload_ ? Clock::now() : last_write_at_) + kStallTimeout;
     if (Clock::now() < stalled_at) return WaitUntil(std::min(stalled_at, deadline_));
   }
-  if (written_) return Finish(AttemptResult::kTimeout, Cause::kTimeout);
-  // A request that was not written completely has not been executed.
+  written_ ? Finish(AttemptResult::kTimeout, Cause::kTimeout) : FailUnwritten();
+}
+
+void BackendConnection::FailUnwritten() {
   Finish(local_shortage_ ? AttemptResult::kNotSent : AttemptResult::kConnectFailed,
          open_ ? Cause::kRequestStalled : Cause::kNotConnected);
 }
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -42,6 +42,8 @@
 
   /// Connects if necessary and sends `message`. `done` runs once, never within this call.
   void Start(uint64_t attempt, AttemptMessage message, AttemptLimits limits, Done done, AttemptStream stream);
+  /// Ends an attempt whose request is not written completely, and so has not been executed.
+  void FailUnwritten();
   /// Ends the attempt without reporting an outcome and closes the connection.
   void Abort();
   /// Closes the connection. Its pending handlers do nothing afterwards. Idempotent.
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -176,6 +176,13 @@
   return true;
 }
 
+void BackendPool::FailIfUnwritten(uint64_t attempt) {
+  auto it = in_flight_.find(attempt);
+  if (it == in_flight_.end() || it->second->may_have_run()) return;
+  std::shared_ptr<BackendConnection> connection = it->second;
+  connection->FailUnwritten();
+}
+
 bool BackendPool::CancelIfConnecting(uint64_t attempt) {
   auto it = in_flight_.find(attempt);
   bool may_have_run = false;
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -55,6 +55,9 @@
   /// @param may_have_run set to whether the backend may have executed the request
   /// @return false if the attempt has ended already
   bool Cancel(uint64_t attempt, bool* may_have_run);
+  /// Ends the attempt as a failure of its backend if its request is not written completely. Its `done` runs
+  /// within this call.
+  void FailIfUnwritten(uint64_t attempt);
   /// Cancels the attempt if it is still connecting.
   /// @return whether it was cancelled
   bool CancelIfConnecting(uint64_t attempt);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -30,6 +30,9 @@
 constexpr auto kBodyTimeout = std::chrono::milliseconds(2500);
 constexpr size_t kMinUploadBytes = 16 * 1024;
 constexpr auto kUploadCheckInterval = std::chrono::milliseconds(250);
+// Upper bound of the bytes that lie between a client's write and the read here: more than the default limits
+// of both sockets' buffers together (tcp(7), tcp_rmem and tcp_wmem).
+constexpr uint64_t kMaxBytesInSockets = uint64_t{16} << 20;
 
 }  // namespace
 
@@ -102,6 +105,14 @@
   return true;
 }
 
+Clock::time_point ClientConnection::IncompleteUntil() {
+  if (!streaming_request_) return incomplete_until_;
+  error_code error;
+  bool drained = PeekByte(socket_, error) == 0 && error == asio::error::would_block;
+  if (!MayBeComplete(drained)) incomplete_until_ = Clock::now();
+  return incomplete_until_;
+}
+
 // The client's close may still be in the socket's buffer, even behind bytes that were not read.
 bool ClientConnection::IsClientConnected() {
   error_code error;
@@ -167,7 +178,11 @@
 // Prepares the buffer only when bytes have arrived: while waiting, bytes may be consumed from the buffer,
 // which moves the position that a read started earlier would write to.
 void ClientConnection::Read() {
-  if (reading_ || state_ == State::kClosed || !CanRead()) return;
+  if (reading_ || state_ == State::kClosed) return;
+  if (!CanRead()) {
+    socket_drained_ = false;
+    return;
+  }
   reading_ = true;
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this(), this](error_code error) { OnReadable(error); });
@@ -175,12 +190,18 @@
 
 void ClientConnection::OnReadable(error_code error) {
   reading_ = false;
-  if (state_ == State::kClosed || (!error && !CanRead())) return;
+  if (state_ == State::kClosed) return;
+  if (!error && !CanRead()) {
+    socket_drained_ = false;
+    return;
+  }
+  if (streaming_request_ && !MayBeComplete(socket_drained_)) incomplete_until_ = Clock::now();
   bool discard = IsBufferFull();
   size_t size = 0;
   if (!error) {
     auto target = discard ? asio::buffer(server_->decode_buffer_) : buffer_.prepare(kReadChunk);
     size = RetryOnInterrupt(error, [&](error_code& failed) { return socket_.read_some(target, failed); });
+    socket_drained_ = size < asio::buffer_size(target);
   }
   if (error == asio::error::would_block) return Read();
   // The client has disconnected. Without a request in flight this only ends the connection.
@@ -268,6 +289,7 @@
   version_ = parser_->get().version();
   state_ = State::kAwaitingResponse;
   streaming_request_ = upload.has_value();
+  incomplete_until_ = Clock::now();
   if (streaming_request_) StartUploadWindow();
   ClientMessage message{parser_->get().base()};
   message.body() = std::exchange(body_, std::string());
@@ -302,6 +324,17 @@
   std::exchange(on_piece_, nullptr)(std::move(piece), last);
 }
 
+// Whether the last byte of an upload may have arrived: it may lie in the buffer here, or, unless the socket
+// is drained, in the buffers of the two sockets.
+bool ClientConnection::MayBeComplete(bool socket_drained) const {
+  if (parser_->is_done()) return true;
+  auto remaining = parser_->content_length_remaining();
+  // While a piece is requested, the buffer holds only what can't be decoded without further bytes.
+  if (!remaining) return !socket_drained || (!on_piece_ && buffer_.size() > 0);
+  uint64_t unread_bytes = *remaining - std::min<uint64_t>(*remaining, buffer_.size());
+  return unread_bytes == 0 || (!socket_drained && unread_bytes <= kMaxBytesInSockets);
+}
+
 // While pieces are requested, an upload must keep a minimum rate and must not stop. While the backend accepts
 // none, it may pause.
 void ClientConnection::StartUploadWindow() {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -63,6 +63,9 @@
   /// @param linger how long to wait for the client to close as well
   /// @return whether the connection is being closed
   bool CloseIfIdle(std::chrono::milliseconds linger);
+  /// The latest time at which the current upload was known to be incomplete. Since then its last byte may
+  /// have arrived: it may lie unread in the socket's buffers while no piece is pulled.
+  Clock::time_point IncompleteUntil();
   /// Whether the client is still connected. Also detects a close that is still unread in the socket's buffer.
   bool IsClientConnected();
   /// Closes the socket and reports the end of the connection. Idempotent.
@@ -99,6 +102,7 @@
 
   // Uploads.
   void DeliverUpload();
+  bool MayBeComplete(bool socket_drained) const;
   void StartUploadWindow();
   void ScheduleUploadCheck();
   void CheckUpload();
@@ -127,6 +131,7 @@
   std::string body_;  // decoded, not yet passed on
   unsigned version_ = 11;
   bool reading_ = false;             // a wait for bytes is pending
+  bool socket_drained_ = false;      // the latest read left none, and a wait has been pending since
   bool request_begun_ = false;       // its first byte has arrived
   bool read_timer_running_ = false;  // for its header or body
   bool body_timer_started_ = false;
@@ -137,6 +142,7 @@
   // Its upload.
   bool streaming_request_ = false;
   OnPiece on_piece_;                     // set while a piece is requested
+  Clock::time_point incomplete_until_;   // the latest time at which its last byte had not arrived
   size_t window_bytes_ = 0;              // received since the rate was last checked
   Clock::time_point window_end_;         // when the rate is checked next
   bool pulled_at_window_start_ = false;  // a piece was already requested when the window began
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -83,6 +83,11 @@
   if (auto connection = Find(id)) connection->Pull(std::move(on_piece));
 }
 
+Clock::time_point ClientServer::IncompleteUntil(uint64_t id) const {
+  auto connection = Find(id);
+  return connection == nullptr ? Clock::now() : connection->IncompleteUntil();
+}
+
 void ClientServer::BeginStream(uint64_t id, const std::string& headers, std::optional<uint64_t> length) {
   if (auto connection = Find(id)) connection->BeginStream(headers, length);
 }
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -53,6 +53,8 @@
   void Reply(uint64_t connection, ClientResponse response);
   /// Requests the next piece of an upload. `on_piece` is not called if the connection ends first.
   void Pull(uint64_t connection, OnPiece on_piece);
+  /// The latest time at which the connection's request was known to be incomplete (ClientConnection).
+  Clock::time_point IncompleteUntil(uint64_t connection) const;
   /// Begins a streamed response; `length` in bytes, if known.
   void BeginStream(uint64_t connection, const std::string& headers, std::optional<uint64_t> length);
   /// Sends a piece of the streamed response; the next one may follow once `on_consumed` was called.
--- a/src/net/in_flight_request.cpp
+++ b/src/net/in_flight_request.cpp
@@ -47,7 +47,7 @@
   InFlightRequest request;
   request.connection = connection;
   request.request_id = ToStringView(message["Request-Id"]);
-  request.body_streamed = upload.has_value();
+  request.body_streamed = request.uploading = upload.has_value();
   request.chunked = upload && !upload->length;
   request.head.reserve(kTypicalHeadBytes);
   request.head.append(ToStringView(message.method_string()))
--- a/src/net/in_flight_request.h
+++ b/src/net/in_flight_request.h
@@ -35,11 +35,13 @@
   std::shared_ptr<const Config> config;  // in effect when the request arrived
   policy::Idempotency idempotency = policy::Idempotency::kIdempotent;
   double timeout_s = 0;               // as requested by the client
+  double margin_s = 0;                // see RequestTimeLimits
   Clock::time_point deadline;         // for the decision on the response
   Clock::time_point client_deadline;  // at which the client gives up, as estimated here
   std::vector<InFlightAttempt> attempts;
   std::optional<int> streaming_attempt;  // the attempt whose response is being streamed to the client
   bool body_streamed = false;            // the body is forwarded as it arrives
+  bool uploading = false;                // its last byte has not been read yet
   bool chunked = false;                  // the body is sent in chunks
   bool body_discarded = false;           // a part of the body was sent and is no longer buffered
   bool answered = false;                 // the response was sent, or the client has gone
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -69,6 +69,7 @@
   request.class_name = config_->socket_settings.classes[class_index];
   request.idempotency = config_->settings.classes[class_index].idempotency;
   request.timeout_s = call.timeout_s;
+  request.margin_s = limits.margin_s;
   // The policy has to decide one margin before the client's timeout. Half a margin before the timeout the
   // gateway responds without it (OnResponseDeadline).
   request.deadline = Clock::now() + Seconds(limits.timeout_s - limits.margin_s / 2);
@@ -78,6 +79,7 @@
   call.request.id = id;
   call.request.time_left_s = limits.timeout_s - limits.margin_s;
   timers_.Add(request.deadline, TimerKind::kResponseDeadline, id);
+  if (request.uploading) timers_.Add(ResponseDeadlineOfUpload(request), TimerKind::kResponseDeadline, id);
   policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnRequest(now_s, call.request, actions);
   });
@@ -190,16 +192,34 @@
   });
 }
 
-// The client's timeout counts from the last byte of its request.
 void RequestLifecycle::OnUploadEnd(uint32_t id) {
   InFlightRequest* request = Find(id);
   if (request == nullptr) return;
-  double left_s = std::min(request->timeout_s, process_.RemainingLifetimeS());
+  request->uploading = false;
+  auto deadline_in = ResponseDeadlineOfUpload(*request) - Clock::now();
+  double left_s = std::min(std::chrono::duration<double>(deadline_in).count(), process_.RemainingLifetimeS());
   log_.Log(request->request_id, "received", "left_s=%.3f", left_s);
   request->deadline = Clock::now() + Seconds(left_s);
+  request->client_deadline = request->deadline + Seconds(request->margin_s / 2);
   timers_.Add(request->deadline, TimerKind::kResponseDeadline, id);
 }
 
+// The client's timeout counts from the last byte of its request, which may have arrived long before it is
+// read: reading pauses while the backend accepts nothing.
+Clock::time_point RequestLifecycle::ResponseDeadlineOfUpload(const InFlightRequest& request) const {
+  return server_.IncompleteUntil(request.connection) + Seconds(request.timeout_s - request.margin_s / 2);
+}
+
+// Ends the attempts that are not written completely, as failures of their backends: each had bytes of the
+// request to accept for the whole of the client's timeout.
+void RequestLifecycle::FailStalledAttempts(uint32_t id) {
+  std::vector<uint64_t> in_flight;
+  for (const InFlightAttempt& attempt : in_flight_.at(id).attempts) {
+    if (attempt.in_flight) in_flight.push_back(attempt.pool_attempt);
+  }
+  for (uint64_t attempt : in_flight) pool_.FailIfUnwritten(attempt);
+}
+
 // A streamed response begins. From here on only this attempt can complete the request.
 bool RequestLifecycle::OnResponseStarted(uint32_t id, int attempt, const std::string& headers,
                                          std::optional<uint64_t> length) {
@@ -346,10 +366,20 @@
 void RequestLifecycle::OnResponseDeadline(uint32_t id) {
   const InFlightRequest* request = Find(id);
   if (request == nullptr || request->answered || request->streaming_attempt) return;
+  if (request->uploading) return CheckUploadDeadline(id);
   if (Clock::now() < request->deadline) return;  // the end of an upload has moved it
   FailWithTimeout(id);
 }
 
+void RequestLifecycle::CheckUploadDeadline(uint32_t id) {
+  const InFlightRequest& request = in_flight_.at(id);
+  auto deadline = std::min(request.deadline, ResponseDeadlineOfUpload(request));
+  if (Clock::now() < deadline) return timers_.Add(deadline, TimerKind::kResponseDeadline, id);
+  FailStalledAttempts(id);
+  const InFlightRequest* remaining = Find(id);
+  if (remaining != nullptr && !remaining->answered) FailWithTimeout(id);
+}
+
 void RequestLifecycle::FailWithTimeout(uint32_t id) {
   const InFlightRequest& request = in_flight_.at(id);
   bool without_effect = !request.may_have_run && !request.HasAttemptInFlight();
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -78,6 +78,9 @@
   AttemptStream MakeAttemptStream(uint32_t id, const InFlightRequest& request, int attempt);
   void PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> deliver);
   void OnUploadEnd(uint32_t id);
+  Clock::time_point ResponseDeadlineOfUpload(const InFlightRequest& request) const;
+  void CheckUploadDeadline(uint32_t id);
+  void FailStalledAttempts(uint32_t id);
   bool OnResponseStarted(uint32_t id, int attempt, const std::string& headers,
                          std::optional<uint64_t> length);
 
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -73,6 +73,90 @@
   AwaitMetric(fixture.gateway->admin_port, "ended.response_stalled", 1);
 }
 
+// A backend behind small socket buffers, which reads its connection at `bytes_per_s`; 0: not at all.
+class SlowReader {
+ public:
+  explicit SlowReader(size_t bytes_per_s) : thread_([this, bytes_per_s] { Run(bytes_per_s); }) {}
+  ~SlowReader() {
+    stopping_ = true;
+    shutdown(listening_.fd, SHUT_RDWR);
+    thread_.join();
+    close(listening_.fd);
+  }
+  int port() const { return listening_.port; }
+
+ private:
+  static constexpr int kReceiveBufferBytes = 4096;
+  static constexpr auto kInterval = std::chrono::milliseconds(20);
+
+  static ListeningSocket ListenWithSmallBuffer() {
+    ListeningSocket listening = ListenOnLoopback(/*backlog=*/8);
+    setsockopt(listening.fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+    return listening;
+  }
+  void Run(size_t bytes_per_s) {
+    int fd = accept(listening_.fd, nullptr, nullptr);
+    std::vector<char> bytes(bytes_per_s * kInterval.count() / 1000);
+    while (!stopping_ && (bytes.empty() || recv(fd, bytes.data(), bytes.size(), 0) > 0))
+      std::this_thread::sleep_for(kInterval);
+    close(fd);
+  }
+
+  std::atomic<bool> stopping_{false};
+  const ListeningSocket listening_ = ListenWithSmallBuffer();
+  std::thread thread_;
+};
+
+// Guards against: while a backend accepted nothing, or little, the last byte of a large request was not read,
+// so that the client's timeout had not begun, and the response came after up to 10 s.
+TEST(SlowBackend, UploadIsAnsweredWithinTheClientsTimeoutAfterItsLastByte) {
+  constexpr int kTimeoutMs = 1000;
+  constexpr auto kLatest = std::chrono::milliseconds(kTimeoutMs + 550);  // half a second late, and 50 ms
+  // More than the buffers between gateway and backend hold, and less than all buffers together.
+  const std::string body(4 * kMegabyte, 'b');
+  for (size_t bytes_per_s : {0, 100000}) {
+    for (bool chunked : {false, true}) {
+      SlowReader backend(bytes_per_s);
+      GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                             kAdminEnvironment);
+      auto client = fixture.gateway->Connect();
+      client->Write(chunked ? Request("send-lead", 1, kTimeoutMs, "Transfer-Encoding: chunked\r\n") +
+                                  ChunkedBody(body, 50000) + "0\r\n\r\n"
+                            : Request("send-lead", 1, kTimeoutMs, "", body));
+      auto written_at = Clock::now();
+      EXPECT_EQ(client->Read().status(), 503) << "it has not run";
+      EXPECT_LT(Clock::now() - written_at, kLatest) << bytes_per_s << " bytes/s, chunked " << chunked;
+      EXPECT_EQ(ReadMetric(fixture.gateway->admin_port, "ended.request_stalled"), 1)
+          << "the backend's failure";
+    }
+  }
+}
+
+// A client may take longer over its body than its timeout, which counts from the last byte, and may pause.
+TEST(SlowClient, TimeoutCountsFromTheLastByteOfAnUpload) {
+  constexpr int kTimeoutMs = 600;
+  for (bool chunked : {false, true}) {
+    Server backend([&](Connection& connection) {
+      connection.ReadUntil(chunked ? "\r\n0\r\n\r\n" : "the end");
+      connection.Write(OkResponse("x"));
+      connection.WaitForClose();
+    });
+    GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+    auto client = fixture.gateway->Connect();
+    std::string body = std::string(150000, 'b') + "the end";
+    std::string text = chunked ? Request("send-lead", 1, kTimeoutMs, "Transfer-Encoding: chunked\r\n") +
+                                     ChunkedBody(body, 5000) + "0\r\n\r\n"
+                               : Request("send-lead", 1, kTimeoutMs, "", body);
+    size_t half = text.size() / 2;
+    for (size_t offset = 0; offset < text.size(); offset += 5000) {
+      client->Write(text.substr(offset, 5000));
+      std::this_thread::sleep_for(
+          std::chrono::milliseconds(offset < half && offset + 5000 >= half ? 1200 : 40));
+    }
+    EXPECT_EQ(client->Read().status(), 200) << chunked;
+  }
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
