Count the time of a pipelined request from its arrival

A request that a client sends behind another on one connection waits in the buffer until that one has its response. Its timeout began only then (RequestLifecycle::OnClientRequest), so its response came later than its time and half a second. Now it counts from the latest read of the bytes that waited.

SlowBackend.PipelinedRequestIsAnsweredWithinItsTimeoutAfterItsArrival: before 2,688 ms for the 2,050 allowed; now in time.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -222,10 +222,13 @@
     buffer_.clear();
     if (lingered_bytes_ > kMaxLingerBytes) Close(CloseReason::kAnsweredLast);
   } else if (state_ == State::kReading) {
+    pipelined_at_.reset();
     Parse();
-  } else if (streaming_request_) {
+  } else {
+    pipelined_at_ = Clock::now();
+    if (!streaming_request_) return;
     window_bytes_ += size;
-    last_progress_at_ = Clock::now();
+    last_progress_at_ = *pipelined_at_;
     DeliverUpload();
   }
 }
@@ -289,7 +292,8 @@
   version_ = parser_->get().version();
   state_ = State::kAwaitingResponse;
   streaming_request_ = upload.has_value();
-  incomplete_until_ = Clock::now();
+  incomplete_until_ = pipelined_at_.value_or(Clock::now());
+  pipelined_at_ = incomplete_until_;  // of bytes that follow in the buffer
   if (streaming_request_) StartUploadWindow();
   ClientMessage message{parser_->get().base()};
   message.body() = std::exchange(body_, std::string());
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -63,8 +63,9 @@
   /// @param linger how long to wait for the client to close as well
   /// @return whether the connection is being closed
   bool CloseIfIdle(std::chrono::milliseconds linger);
-  /// The latest time at which the current upload was known to be incomplete. Since then its last byte may
-  /// have arrived: it may lie unread in the socket's buffers while no piece is pulled.
+  /// The latest time at which the current request was known to be incomplete. Its last byte may have arrived
+  /// since: a pipelined request waits in the buffer, and while no piece of an upload is pulled, the rest of
+  /// it may lie unread in the socket's buffers.
   Clock::time_point IncompleteUntil();
   /// Whether the client is still connected. Also detects a close that is still unread in the socket's buffer.
   bool IsClientConnected();
@@ -135,6 +136,8 @@
   bool request_begun_ = false;       // its first byte has arrived
   bool read_timer_running_ = false;  // for its header or body
   bool body_timer_started_ = false;
+  Clock::time_point incomplete_until_;             // the latest time at which its last byte had not arrived
+  std::optional<Clock::time_point> pipelined_at_;  // when the latest bytes behind another request were read
   bool continue_sent_ = false;
   size_t discarded_bytes_ = 0;  // pipelined beyond the buffer; if any, the next response is the last
   size_t lingered_bytes_ = 0;   // read and ignored while lingering
@@ -142,7 +145,6 @@
   // Its upload.
   bool streaming_request_ = false;
   OnPiece on_piece_;                     // set while a piece is requested
-  Clock::time_point incomplete_until_;   // the latest time at which its last byte had not arrived
   size_t window_bytes_ = 0;              // received since the rate was last checked
   Clock::time_point window_end_;         // when the rate is checked next
   bool pulled_at_window_start_ = false;  // a piece was already requested when the window began
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -58,6 +58,7 @@
     response.status = call.status;
     return server_.Reply(connection, std::move(response));
   }
+  Clock::time_point received_at = server_.IncompleteUntil(connection);
   RequestTimeLimits limits =
       ComputeTimeLimits(call.timeout_s, message, upload, process_.RemainingLifetimeS());
   uint32_t id = NextId();
@@ -72,12 +73,13 @@
   request.margin_s = limits.margin_s;
   // The policy has to decide one margin before the client's timeout. Half a margin before the timeout the
   // gateway responds without it (OnResponseDeadline).
-  request.deadline = Clock::now() + Seconds(limits.timeout_s - limits.margin_s / 2);
-  request.client_deadline = Clock::now() + Seconds(limits.timeout_s);
+  request.deadline = received_at + Seconds(limits.timeout_s - limits.margin_s / 2);
+  request.client_deadline = received_at + Seconds(limits.timeout_s);
   log_.Log(request.request_id, "taken", "connection=%llu class=%s left_s=%.3f",
            static_cast<unsigned long long>(connection), request.class_name.c_str(), limits.timeout_s);
   call.request.id = id;
-  call.request.time_left_s = limits.timeout_s - limits.margin_s;
+  double waited_s = std::chrono::duration<double>(Clock::now() - received_at).count();
+  call.request.time_left_s = limits.timeout_s - limits.margin_s - waited_s;
   timers_.Add(request.deadline, TimerKind::kResponseDeadline, id);
   if (request.uploading) timers_.Add(ResponseDeadlineOfUpload(request), TimerKind::kResponseDeadline, id);
   policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -157,6 +157,30 @@
   }
 }
 
+// Guards against: the timeout of a pipelined request began only when the request before it had its response.
+TEST(SlowBackend, PipelinedRequestIsAnsweredWithinItsTimeoutAfterItsArrival) {
+  constexpr int kTimeoutMs = 1500;
+  constexpr auto kLatest = std::chrono::milliseconds(kTimeoutMs + 550);  // half a second late, and 50 ms
+  const std::string body(100000, 'b');
+  Event connection_closed;
+  std::atomic<int> requests{0};
+  Backend backend([&](const Message&, Connection& connection) {
+    if (++requests > 1) return HangsUntilClosed(&connection_closed)({}, connection);
+    std::string text = OkResponse(body);
+    connection.Write(text.substr(0, text.size() - 1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    return text.substr(text.size() - 1);
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(RequestOfNewCustomer("quote") + Request("send-lead", 1, kTimeoutMs));
+  auto written_at = Clock::now();
+  EXPECT_EQ(client->Read().body, body);
+  EXPECT_EQ(client->Read().status(), 502) << "it may have run";
+  EXPECT_EQ(requests, 2);
+  EXPECT_LT(Clock::now() - written_at, kLatest);
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
