Let a response of unknown length go on after its deadline while it keeps coming

Cause: BackendConnection::HasResponseDeadline takes a response of unknown length for a small one until more than 64 KiB of it were passed on. A small one has to be complete 0.25 s after its deadline; a large one that is slow is not past 64 KiB by then. With a Content-Length, or fast, the same response came whole.

Change: one of unknown length is looked at from its deadline on, every 0.25 s. While its backend sends at least 4 KiB in that time (a quarter of 64 KB/s, so that a process that is held up for 0.15 s misjudges none), it goes on; past 64 KiB it has no deadline as before. One that stops or trickles is cut off as before, 0.25 to 0.5 s after the deadline. Responses whose known length is small keep their deadline.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -30,6 +30,10 @@
 // How long after its deadline a small response that has begun may complete: half of the lateness that the
 // platform allows for a final response.
 constexpr auto kLateResponseGrace = std::chrono::milliseconds(250);
+// A response of unknown length may go on after its deadline while its backend sends at least this much in
+// each kLateResponseGrace: a quarter of the rate of the slowest peers, since the process may be held up
+// meanwhile.
+constexpr size_t kMinLateBytes = 4096;
 // Backoff between connects that fail because a local resource is exhausted.
 constexpr auto kMinConnectBackoff = std::chrono::milliseconds(2);
 constexpr auto kMaxConnectBackoff = std::chrono::milliseconds(50);
@@ -143,12 +147,13 @@
 }
 
 void BackendConnection::WaitForStream(Clock::time_point when) {
-  WaitUntil(HasResponseDeadline() ? std::min(when, deadline_ + kLateResponseGrace) : when);
+  WaitUntil(HasResponseDeadline() ? std::min(when, response_due_at_) : when);
 }
 
 void BackendConnection::OnTimer() {
   if (!busy_) return RemoveAndClose();
-  if (streaming_response_ && HasResponseDeadline() && Clock::now() >= deadline_ + kLateResponseGrace)
+  if (streaming_response_ && HasResponseDeadline() && Clock::now() >= response_due_at_ &&
+      !ExtendResponseDeadline())
     return Finish(AttemptResult::kReset, Cause::kResponseDeadline);
   if (streaming_response_) {
     // Waiting for the client to consume a piece is no stall: the client's own write timeout applies.
@@ -169,12 +174,23 @@
          open_ ? Cause::kRequestStalled : Cause::kNotConnected);
 }
 
-// Whether a streamed response must end by the request's deadline. A response larger than kMaxBody only has to
-// begin in time and to make progress.
+// Whether a streamed response must end soon after the request's deadline. A response larger than kMaxBody
+// only has to begin in time and to make progress.
 bool BackendConnection::HasResponseDeadline() const {
   return parser_->content_length().value_or(0) <= kMaxBody && delivered_bytes_ <= kMaxBody;
 }
 
+// Called when the response is due. One of unknown length may be larger than kMaxBody although that much of it
+// has not arrived, so it is due again later if it keeps up a rate.
+bool BackendConnection::ExtendResponseDeadline() {
+  if (parser_->content_length()) return false;
+  bool keeps_up = !delivered_when_late_ || awaiting_consumer_ ||
+                  delivered_bytes_ >= *delivered_when_late_ + kMinLateBytes;
+  delivered_when_late_ = delivered_bytes_;
+  response_due_at_ = Clock::now() + kLateResponseGrace;
+  return keeps_up;
+}
+
 void BackendConnection::Connect() {
   WaitUntil(std::min(send_deadline_, started_at_ + pool_->connect_timeout_));
   StartConnectAttempt();
@@ -365,6 +381,9 @@
   AppendClientHeaders(parser_->get(), &headers);
   auto length = parser_->content_length();
   last_progress_at_ = Clock::now();
+  // One of unknown length is checked at the deadline for the first time, to see how it goes on from there.
+  response_due_at_ = length ? deadline_ + kLateResponseGrace : deadline_;
+  delivered_when_late_.reset();
   WaitForStream(last_progress_at_ + kStallTimeout);
   return stream_.on_begin(std::move(headers), length ? std::optional<uint64_t>(*length) : std::nullopt);
 }
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -59,6 +59,7 @@
   void WaitForStream(Clock::time_point when);
   void OnTimer();
   bool HasResponseDeadline() const;
+  bool ExtendResponseDeadline();
 
   // Connecting.
   void Connect();
@@ -133,7 +134,9 @@
   bool awaiting_consumer_ = false;   // a piece was delivered and not yet consumed
   bool delivering_ = false;          // within the call that delivers a piece
   size_t delivered_bytes_ = 0;
-  Clock::time_point last_progress_at_;  // when a part of the body was last delivered or consumed
+  Clock::time_point response_due_at_;          // while HasResponseDeadline()
+  std::optional<size_t> delivered_when_late_;  // at the latest check after the request's deadline
+  Clock::time_point last_progress_at_;         // when a part of the body was last delivered or consumed
 };
 
 }  // namespace lemonchute::net
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -181,6 +181,53 @@
   EXPECT_LT(Clock::now() - written_at, kLatest);
 }
 
+// Guards against: a response of unknown length that began in time and kept coming was cut off 0.25 s after
+// the client's timeout, since it had not reached the size from which a response counts as large.
+TEST(SlowBackend, LargeResponseOfUnknownLengthIsCompletedAfterTheTimeout) {
+  constexpr size_t kPieceBytes = 3200;
+  constexpr auto kPieceInterval = std::chrono::milliseconds(50);  // 64 KB/s
+  const std::string body = NumberedText(50 * kPieceBytes);
+  for (bool chunked : {false, true}) {
+    Backend backend([&](const Message&, Connection& connection) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+      connection.Write(std::string("HTTP/1.1 200 OK\r\n") +
+                       (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+      for (size_t offset = 0; offset < body.size(); offset += kPieceBytes) {
+        std::string piece = body.substr(offset, kPieceBytes);
+        connection.Write(chunked ? ChunkedBody(piece, kPieceBytes) : piece);
+        std::this_thread::sleep_for(kPieceInterval);
+      }
+      if (chunked) connection.Write("0\r\n\r\n");
+      return std::string();
+    });
+    GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+    auto client = fixture.gateway->Connect();
+    client->Write(Request("quote", 1, 1100));
+    EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+    EXPECT_TRUE(ReadChunkedBody(*client) == body) << "chunked " << chunked;
+  }
+}
+
+// One that stops is cut off before it counts as lost: half a second after the client's timeout, and 50 ms.
+TEST(SlowBackend, ResponseOfUnknownLengthThatStopsIsCutOffInTime) {
+  constexpr int kTimeoutMs = 600;
+  Backend backend([&](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     ChunkedBody(std::string(40000, 'b'), 5000));
+    connection.WaitForClose();
+    return std::string();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                         kAdminEnvironment);
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote", 1, kTimeoutMs));
+  auto written_at = Clock::now();
+  EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+  EXPECT_EQ(ReadChunkedBody(*client), "no last chunk");
+  EXPECT_LT(Clock::now() - written_at, std::chrono::milliseconds(kTimeoutMs + 550));
+  AwaitMetric(fixture.gateway->admin_port, "ended.response_deadline", 1);
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
