Give an upload's attempt the client's deadline once the upload has ended

An attempt kept the deadline of the upload, up to 48 MB at 64 KB/s beyond the client's, also after the last byte. The last piece of a request now brings the time that is left.

--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -34,6 +34,13 @@
   std::string body;
 };
 
+/// The next bytes of a streamed request.
+struct RequestPiece {
+  std::string bytes;
+  bool last = false;
+  double timeout_s = 0;  ///< Of the last piece: until the attempt times out, which is known only now.
+};
+
 /// Callbacks for messages that are too large to be buffered.
 struct AttemptStream {
   /// A streamed response begins.
@@ -45,7 +52,7 @@
   /// called, within this call or later.
   std::function<void(std::string piece, std::function<void()> on_consumed)> on_piece;
   /// Requests the next bytes of the request. Set only if the message holds just the beginning of it.
-  std::function<void(std::function<void(std::string bytes, bool last)>)> request_more;
+  std::function<void(std::function<void(RequestPiece)>)> request_more;
 };
 
 /// The buffered bytes of a request.
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -285,14 +285,16 @@
   awaiting_upload_ = true;
   // A copy, because the last piece clears the member during the call.
   auto request_more = stream_.request_more;
-  request_more([self = shared_from_this(), this, current = attempt_](std::string bytes, bool last) {
+  request_more([self = shared_from_this(), this, current = attempt_](RequestPiece piece) {
     if (closed_ || !busy_ || attempt_ != current) return;
     awaiting_upload_ = false;
     last_write_at_ = Clock::now();
-    message_ = std::move(bytes);
-    if (last) {
+    message_ = std::move(piece.bytes);
+    if (piece.last) {
       stream_.request_more = nullptr;
-      upload_s_ = ElapsedSeconds(started_at_, Clock::now());
+      upload_s_ = ElapsedSeconds(started_at_, last_write_at_);
+      deadline_ = last_write_at_ + Seconds(piece.timeout_s);
+      WaitUntil(std::min(deadline_, last_write_at_ + kStallTimeout));
     }
     Write();
   });
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -141,7 +141,7 @@
     server_.SendPiece(connection, piece, std::move(on_consumed));
   };
   if (request.body_streamed) {
-    stream.request_more = [this, id](std::function<void(std::string, bool)> deliver) {
+    stream.request_more = [this, id](std::function<void(RequestPiece)> deliver) {
       PullUpload(id, std::move(deliver));
     };
   }
@@ -180,23 +180,24 @@
 }
 
 // From the first piece on the request can't be retried, because the bytes that were sent are not buffered.
-void RequestLifecycle::PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> deliver) {
+void RequestLifecycle::PullUpload(uint32_t id, std::function<void(RequestPiece)> deliver) {
   InFlightRequest* request = Find(id);
   if (request == nullptr || request->answered) return;
   request->body_discarded = true;
   request->body = std::string();
   server_.Pull(request->connection, [this, id, chunked = request->chunked, deliver = std::move(deliver)](
-                                        std::string piece, bool last) {
-    if (last) OnUploadEnd(id);
-    if (chunked) piece = piece.empty() ? piece : EncodeChunk(piece);
-    if (chunked && last) piece += "0\r\n\r\n";
-    deliver(std::move(piece), last);
+                                        std::string bytes, bool last) {
+    RequestPiece piece{std::move(bytes), last};
+    if (last) piece.timeout_s = OnUploadEnd(id);
+    if (chunked && !piece.bytes.empty()) piece.bytes = EncodeChunk(piece.bytes);
+    if (chunked && last) piece.bytes += "0\r\n\r\n";
+    deliver(std::move(piece));
   });
 }
 
-void RequestLifecycle::OnUploadEnd(uint32_t id) {
+double RequestLifecycle::OnUploadEnd(uint32_t id) {
   InFlightRequest* request = Find(id);
-  if (request == nullptr) return;
+  if (request == nullptr) return 0;
   request->uploading = false;
   auto deadline_in = ResponseDeadlineOfUpload(*request) - Clock::now();
   double left_s = std::min(std::chrono::duration<double>(deadline_in).count(), process_.RemainingLifetimeS());
@@ -204,6 +205,7 @@
   request->deadline = Clock::now() + Seconds(left_s);
   request->client_deadline = request->deadline + Seconds(request->margin_s / 2);
   timers_.Add(request->deadline, TimerKind::kResponseDeadline, id);
+  return left_s;
 }
 
 // The client's timeout counts from the last byte of its request, which may have arrived long before it is
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -76,8 +76,8 @@
   SendVerdict CheckAttempt(const InFlightRequest& request, int attempt, SendCheck when);
   AttemptMessage MakeAttemptMessage(uint32_t id, const InFlightRequest& request, int attempt);
   AttemptStream MakeAttemptStream(uint32_t id, const InFlightRequest& request, int attempt);
-  void PullUpload(uint32_t id, std::function<void(std::string bytes, bool last)> deliver);
-  void OnUploadEnd(uint32_t id);
+  void PullUpload(uint32_t id, std::function<void(RequestPiece)> deliver);
+  double OnUploadEnd(uint32_t id);  // returns the time left for the response, in seconds
   Clock::time_point ResponseDeadlineOfUpload(const InFlightRequest& request) const;
   void CheckUploadDeadline(uint32_t id);
   void FailStalledAttempts(uint32_t id);
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -228,6 +228,29 @@
   AwaitMetric(fixture.gateway->admin_port, "ended.response_deadline", 1);
 }
 
+// Guards against: an attempt kept the long deadline of its upload, so that a response to it could trickle on.
+TEST(SlowBackend, ResponseToAnUploadIsCutOffInTime) {
+  constexpr int kTimeoutMs = 600;
+  const std::string body(100000, 'b');
+  Server backend([&](Connection& connection) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.ReadUntil(body.size());
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     ChunkedBody(std::string(20000, 'b'), 5000));
+    while (connection.IsOpen()) {
+      connection.Write("1\r\nb\r\n");
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("send-lead", 1, kTimeoutMs, "", body));
+  auto written_at = Clock::now();
+  EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+  EXPECT_EQ(ReadChunkedBody(*client), "no last chunk");
+  EXPECT_LT(Clock::now() - written_at, std::chrono::milliseconds(kTimeoutMs + 550));
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
