Move an upload's minimum rate and a response's fields out of the connections

UploadRate watches one upload, by the same rules and constants; backend_response holds the parsing of X-Cost-Units and the choice of headers.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -1,13 +1,11 @@
 #include "net/backend_connection.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
-#include <cmath>
-#include <string_view>
 #include <utility>
 
 #include "net/backend_pool.h"
+#include "net/backend_response.h"
 #include "net/message_decoding.h"
 
 namespace lemonchute::net {
@@ -37,33 +35,11 @@
 // Backoff between connects that fail because a local resource is exhausted.
 constexpr auto kMinConnectBackoff = std::chrono::milliseconds(2);
 constexpr auto kMaxConnectBackoff = std::chrono::milliseconds(50);
-constexpr double kMaxReportedUnits = 65535;  // upper bound for X-Cost-Units
 
 double ElapsedSeconds(Clock::time_point from, Clock::time_point to) {
   return std::chrono::duration<double>(to - from).count();
 }
 
-// Whether a response header is meant for the gateway and not for the client.
-bool IsInternalHeader(std::string_view name) {
-  return boost::beast::iequals({name.data(), name.size()}, "X-Cost-Units") ||
-         boost::beast::iequals({name.data(), name.size()}, "Server-Load");
-}
-
-template <typename Fields>
-void AppendClientHeaders(const Fields& fields, std::string* out) {
-  AppendEndToEnd(fields, out,
-                 [](const auto& field) { return IsInternalHeader(ToStringView(field.name_string())); });
-}
-
-// Parses X-Cost-Units; 0 if it is not a positive number.
-double ParseCostUnits(std::string_view text) {
-  double units = 0;
-  const char* end = text.data() + text.size();
-  auto [parsed_to, failure] = std::from_chars(text.data(), end, units);
-  bool valid = failure == std::errc() && parsed_to == end && std::isfinite(units) && units > 0;
-  return valid ? std::min(units, kMaxReportedUnits) : 0;
-}
-
 }  // namespace
 
 BackendConnection::BackendConnection(BackendPool* pool, uint32_t backend, const tcp::endpoint& address)
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -26,9 +26,8 @@
 constexpr auto kFirstHeaderTimeout = std::chrono::milliseconds(2500);
 // Time for the header of a later request, from its first byte; the same rule applies.
 constexpr auto kHeaderTimeout = kFirstHeaderTimeout;
-// Time for a small body to be complete, or for the next kMinUploadBytes of a large one.
-constexpr auto kBodyTimeout = std::chrono::milliseconds(2500);
-constexpr size_t kMinUploadBytes = 16 * 1024;
+// Time for a small body to be complete.
+constexpr auto kBodyTimeout = UploadRate::kWindow;
 constexpr auto kUploadCheckInterval = std::chrono::milliseconds(250);
 // Upper bound of the bytes that lie between a client's write and the read here: more than the default limits
 // of both sockets' buffers together (tcp(7), tcp_rmem and tcp_wmem).
@@ -60,7 +59,7 @@
 void ClientConnection::Pull(OnPiece on_piece) {
   if (!streaming_request_) return;
   on_piece_ = std::move(on_piece);
-  last_progress_at_ = Clock::now();
+  upload_rate_.OnRequested(Clock::now());
   SendContinue();
   DeliverUpload();
   Read();
@@ -227,8 +226,7 @@
   } else {
     pipelined_at_ = Clock::now();
     if (!streaming_request_) return;
-    window_bytes_ += size;
-    last_progress_at_ = *pipelined_at_;
+    upload_rate_.OnBytes(*pipelined_at_, size);
     DeliverUpload();
   }
 }
@@ -294,7 +292,10 @@
   streaming_request_ = upload.has_value();
   incomplete_until_ = pipelined_at_.value_or(Clock::now());
   pipelined_at_ = incomplete_until_;  // of bytes that follow in the buffer
-  if (streaming_request_) StartUploadWindow();
+  if (streaming_request_) {
+    upload_rate_.Begin(Clock::now(), on_piece_ != nullptr);
+    ScheduleUploadCheck();
+  }
   ClientMessage message{parser_->get().base()};
   message.body() = std::exchange(body_, std::string());
   server_->on_request_(id_, std::move(message), upload);
@@ -339,27 +340,14 @@
   return unread_bytes == 0 || (!socket_drained && unread_bytes <= kMaxBytesInSockets);
 }
 
-// While pieces are requested, an upload must keep a minimum rate and must not stop. While the backend accepts
-// none, it may pause.
-void ClientConnection::StartUploadWindow() {
-  window_bytes_ = 0;
-  window_end_ = Clock::now() + kBodyTimeout;
-  pulled_at_window_start_ = on_piece_ != nullptr;
-  ScheduleUploadCheck();
-}
-
 void ClientConnection::ScheduleUploadCheck() {
   timer_.Start(kUploadCheckInterval, [self = shared_from_this(), this] { CheckUpload(); });
 }
 
 void ClientConnection::CheckUpload() {
   if (state_ != State::kAwaitingResponse || !streaming_request_) return;
-  auto now = Clock::now();
-  bool stopped = on_piece_ && now >= last_progress_at_ + kBodyTimeout;
-  bool window_over = now >= window_end_;
-  bool slow = window_over && pulled_at_window_start_ && on_piece_ && window_bytes_ < kMinUploadBytes;
-  if (stopped || slow) return Close(CloseReason::kSlowBody);
-  window_over ? StartUploadWindow() : ScheduleUploadCheck();
+  if (upload_rate_.Check(Clock::now(), on_piece_ != nullptr)) return Close(CloseReason::kSlowBody);
+  ScheduleUploadCheck();
 }
 
 void ClientConnection::Write(const ClientResponse& response, bool keep_alive) {
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -16,6 +16,7 @@
 #include "net/reasons.h"
 #include "net/response_text.h"
 #include "net/steady_clock.h"
+#include "net/upload_rate.h"
 
 namespace lemonchute::net {
 
@@ -104,7 +105,6 @@
   // Uploads.
   void DeliverUpload();
   bool MayBeComplete(bool socket_drained) const;
-  void StartUploadWindow();
   void ScheduleUploadCheck();
   void CheckUpload();
 
@@ -144,11 +144,8 @@
 
   // Its upload.
   bool streaming_request_ = false;
-  OnPiece on_piece_;                     // set while a piece is requested
-  size_t window_bytes_ = 0;              // received since the rate was last checked
-  Clock::time_point window_end_;         // when the rate is checked next
-  bool pulled_at_window_start_ = false;  // a piece was already requested when the window began
-  Clock::time_point last_progress_at_;   // when a piece was requested, or its latest bytes arrived
+  OnPiece on_piece_;  // set while a piece is requested
+  UploadRate upload_rate_;
 
   // The response.
   std::string writing_;         // referred to by the pending write
