Judge by the socket's own receive buffer how much of an upload may lie unread

The constant of 16 MiB went by the kernel's usual limits; where tcp_rmem allows more, as 32 MiB here, a large upload could lie in the sockets whole and be taken for incomplete. The receive buffer is now asked for its size. The tests of misbehaving and slow peers pass (12).

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -29,9 +29,8 @@
 // Time for a small body to be complete.
 constexpr auto kBodyTimeout = UploadRate::kWindow;
 constexpr auto kUploadCheckInterval = std::chrono::milliseconds(250);
-// Upper bound of the bytes that lie between a client's write and the read here: more than the default limits
-// of both sockets' buffers together (tcp(7), tcp_rmem and tcp_wmem).
-constexpr uint64_t kMaxBytesInSockets = uint64_t{16} << 20;
+// Upper bound of the bytes in the client's send buffer: twice the kernel's default limit (tcp(7), tcp_wmem).
+constexpr uint64_t kMaxSendBufferBytes = uint64_t{8} << 20;
 
 }  // namespace
 
@@ -337,7 +336,9 @@
   // While a piece is requested, the buffer holds only what can't be decoded without further bytes.
   if (!remaining) return !socket_drained || (!on_piece_ && buffer_.size() > 0);
   uint64_t unread_bytes = *remaining - std::min<uint64_t>(*remaining, buffer_.size());
-  return unread_bytes == 0 || (!socket_drained && unread_bytes <= kMaxBytesInSockets);
+  if (unread_bytes == 0 || socket_drained) return unread_bytes == 0;
+  return unread_bytes <= kMaxSendBufferBytes ||
+         unread_bytes <= kMaxSendBufferBytes + ReceiveBufferBytes(socket_);
 }
 
 void ClientConnection::ScheduleUploadCheck() {
--- a/src/net/socket_io.h
+++ b/src/net/socket_io.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio.hpp>
 #include <cerrno>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -104,6 +106,16 @@
   return error != asio::error::would_block;
 }
 
+/// @return the size of the kernel's receive buffer, which grows with the peer's rate; the largest number if
+/// unknown
+inline uint64_t ReceiveBufferBytes(const tcp::socket& socket) {
+  tcp::socket::receive_buffer_size size;
+  error_code error;
+  socket.get_option(size, error);
+  return error || size.value() < 0 ? std::numeric_limits<uint32_t>::max()
+                                   : static_cast<uint64_t>(size.value());
+}
+
 /// Makes the socket non-blocking and disables Nagle's algorithm.
 inline error_code ConfigureSocket(tcp::socket& socket) {
   error_code error;
