Hold everything on the heap to one budget, enforced where bytes are read

Cause (H1): only bodies had a budget, divided by the connections of the moment. Heads, parsed fields, the text of attempts, pieces on their way and finished responses had none. A field of four bytes takes some hundred once it is parsed, and a request kept its fields twice until its response; read buffers doubled and stayed with idle connections.

Change: operator new counts the heap in use (net/heap_usage); net/memory_budget compares it with the limit less what a process needs beside it. What is read at once is a fixed share of what is free. While less than a fifth is free no new request is read; after 150 ms it is refused with 503. Requests that were taken progress by at least 4 KiB pieces. Fields are freed when the head has been judged, buffers grow no further than needed, and a request that is over keeps no text. New metrics: memory.heap_bytes, .heap_peak_bytes, .heap_limit_bytes, .resident_bytes, .refused, connections.clients, connections.backends.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "net/gateway.h"
+#include "net/heap_usage.h"
 
 namespace lemonchute {
 namespace {
@@ -55,6 +56,7 @@
 void RunGateway() {
   const char* path = std::getenv("LB_CONFIG");
   if (path == nullptr) throw policy::ProtocolError("LB_CONFIG must name the configuration file");
+  net::LimitRetainedHeap();
   boost::asio::io_context io(1);
   // Registered before the configuration is read, so that a signal during startup is handled by the event loop
   // instead of ending the process.
--- a/src/net/admin_api.cpp
+++ b/src/net/admin_api.cpp
@@ -86,6 +86,13 @@
   line("active", gauges.active_requests);
   line("pool_size", gauges.listed_backends);
   line("pool_ejected", gauges.unavailable_backends);
+  line("connections.clients", gauges.client_connections);
+  line("connections.backends", gauges.backend_connections);
+  line("memory.heap_bytes", gauges.heap_bytes);
+  line("memory.heap_peak_bytes", gauges.peak_heap_bytes);
+  line("memory.heap_limit_bytes", gauges.heap_limit_bytes);
+  line("memory.resident_bytes", gauges.resident_bytes);
+  line("memory.refused", gauges.memory_refusals);
   config_manager_.AppendMetrics(line);
   members_.AppendMetrics(line);
   return text;
--- a/src/net/admin_api.h
+++ b/src/net/admin_api.h
@@ -22,6 +22,13 @@
   uint64_t active_requests = 0;
   uint64_t listed_backends = 0;
   uint64_t unavailable_backends = 0;
+  uint64_t client_connections = 0;
+  uint64_t backend_connections = 0;
+  uint64_t heap_bytes = 0;
+  uint64_t peak_heap_bytes = 0;
+  uint64_t heap_limit_bytes = 0;  // see MemoryBudget
+  uint64_t resident_bytes = 0;
+  uint64_t memory_refusals = 0;  // requests refused for want of memory
 };
 
 /// Handles the requests of operators. The objects given to the constructor must outlive this one.
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "net/backend_pool.h"
-#include "net/backend_response.h"
 #include "net/message_decoding.h"
 
 namespace lemonchute::net {
@@ -70,6 +69,7 @@
   upload_s_ = connect_wait_s_ = 0;
   streamed_request_ = stream_.request_more != nullptr;
   body_.clear();
+  response_.reset();
   started_at_ = Clock::now();
   deadline_ = started_at_ + Seconds(std::max(0.0, limits.timeout_s));
   send_deadline_ = limits.start_within_s > 0
@@ -288,24 +288,35 @@
   });
 }
 
+// Takes memory for the bytes only once they have arrived.
 void BackendConnection::Read() {
   reading_ = true;
-  auto on_read = [self = shared_from_this(), this](error_code error, size_t size) {
-    reading_ = false;
-    if (closed_) return;
-    buffer_.commit(size);
-    if (!busy_) return RemoveAndClose();  // closed by the backend while idle, or unsolicited bytes
-    if (!error) {
-      Parse();
-      return ContinueReading();
-    }
-    error_code incomplete;
-    if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(incomplete);
-    if (error == asio::error::eof && !incomplete && parser_->is_done()) return OnResponse(false);
-    Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed, Cause::kConnectionEnded);
-  };
-  socket_.async_read_some(buffer_.prepare(streaming_response_ ? kMaxPieceBytes : kReadChunk),
-                          std::move(on_read));
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this(), this](error_code error) { OnReadable(error); });
+}
+
+void BackendConnection::OnReadable(error_code error) {
+  reading_ = false;
+  if (closed_) return;
+  if (!busy_) return RemoveAndClose();  // closed by the backend while idle, or unsolicited bytes
+  size_t size = 0;
+  if (!error) {
+    auto target =
+        asio::buffer(pool_->read_buffer_, streaming_response_ ? pool_->MaxPieceBytes() : kReadChunk);
+    size = RetryOnInterrupt(error, [&](error_code& failed) { return socket_.read_some(target, failed); });
+  }
+  if (error == asio::error::would_block) return ContinueReading();
+  if (error) return OnReadEnd(error);
+  AppendReceived(buffer_, pool_->read_buffer_.data(), size);
+  Parse();
+  ContinueReading();
+}
+
+void BackendConnection::OnReadEnd(error_code error) {
+  error_code incomplete;
+  if (error == asio::error::eof && written_ && parser_->got_some()) parser_->put_eof(incomplete);
+  if (error == asio::error::eof && !incomplete && parser_->is_done()) return OnResponse(false);
+  Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed, Cause::kConnectionEnded);
 }
 
 void BackendConnection::ContinueReading() {
@@ -319,7 +330,7 @@
     return Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed,
                   Cause::kMalformedResponse);
   if (written_ && parser_->is_header_done() && !streaming_response_ && ShouldStream()) {
-    if (parser_->get().result_int() != 200) return OnResponse(false);  // the body is not needed
+    if (response_->status != 200) return OnResponse(false);  // the body is not needed
     if (!BeginStream()) return Finish(AttemptResult::kCancelled, Cause::kCancelled);
   }
   // A response this large can't belong to a request that is not written completely.
@@ -338,8 +349,13 @@
   while (buffer_.size() > 0 && !parser_->is_done() && !error) {
     error = DecodeBody(*parser_, buffer_, pool_->decode_buffer_, &body_);
     bool interim = !error && parser_->is_done() && parser_->get().result_int() / 100 == 1;
-    if (interim) ResetParser(&parser_, kMaxStreamedBytes);
+    if (interim) {
+      ResetParser(&parser_, kMaxStreamedBytes);
+    } else if (!error && parser_->is_header_done() && !response_) {
+      response_ = TakeBackendResponse(parser_->get().base());
+    }
   }
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
   return error == http::error::need_more ? error_code() : error;
 }
 
@@ -355,15 +371,14 @@
 // Returns false if nobody waits for the response any more.
 bool BackendConnection::BeginStream() {
   streaming_response_ = true;
-  std::string headers;
-  AppendClientHeaders(parser_->get(), &headers);
   auto length = parser_->content_length();
   last_progress_at_ = Clock::now();
   // One of unknown length is checked at the deadline for the first time, to see how it goes on from there.
   response_due_at_ = length ? deadline_ + kLateResponseGrace : deadline_;
   delivered_when_late_.reset();
   WaitForStream(last_progress_at_ + kStallTimeout);
-  return stream_.on_begin(std::move(headers), length ? std::optional<uint64_t>(*length) : std::nullopt);
+  return stream_.on_begin(std::exchange(response_->headers, std::string()),
+                          length ? std::optional<uint64_t>(*length) : std::nullopt);
 }
 
 // Reading pauses until the client's connection has consumed the piece, so that at most one piece is buffered.
@@ -386,16 +401,14 @@
   AttemptEnd end;
   end.cause = Cause::kResponse;
   end.streamed = streaming_response_;
-  auto& response = parser_->get();
-  unsigned status = response.result_int();
-  bool not_started = ToStringView(response["Not-Started"]) == "1";
+  unsigned status = response_->status;
   if (status == 200) {
     end.result = AttemptResult::kOk;
-    end.actual_units = ParseCostUnits(ToStringView(response["X-Cost-Units"]));
-    if (!streaming_response_) AppendClientHeaders(response, &end.headers);
+    end.actual_units = response_->actual_units;
+    end.headers = std::exchange(response_->headers, std::string());
     end.body = std::exchange(body_, std::string());
   } else {
-    bool overloaded = (status == 503 || status == 504) && not_started;
+    bool overloaded = (status == 503 || status == 504) && response_->not_started;
     end.result = overloaded ? AttemptResult::kOverloaded : AttemptResult::kError;
   }
   Finish(std::move(end), keep_alive);
@@ -427,6 +440,8 @@
   done_ = nullptr;
   stream_ = {};
   body_ = std::string();
+  response_.reset();
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
   if (done) done(std::move(end));
 }
 
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "net/attempt.h"
+#include "net/backend_response.h"
 #include "net/http.h"
 #include "net/one_shot_timer.h"
 #include "net/steady_clock.h"
@@ -76,6 +77,8 @@
 
   // The response.
   void Read();
+  void OnReadable(error_code error);
+  void OnReadEnd(error_code error);
   void ContinueReading();
   void Parse();
   error_code Decode();
@@ -91,10 +94,10 @@
   const uint32_t backend_;
   const tcp::endpoint address_;
   tcp::socket socket_;
-  bool open_ = false;                                              // connected
-  bool closed_ = false;                                            // never opened again
-  bool reading_ = false;                                           // a read is pending
-  boost::beast::flat_buffer buffer_{kMaxHeader + kMaxPieceBytes};  // an incomplete element and one read
+  bool open_ = false;                 // connected
+  bool closed_ = false;               // never opened again
+  bool reading_ = false;              // a read is pending
+  boost::beast::flat_buffer buffer_;  // received, not yet parsed
 
   // While idle.
   std::optional<std::list<BackendConnection*>::iterator> idle_position_;  // in the pool's idle order
@@ -129,10 +132,11 @@
 
   // Its response.
   std::optional<http::response_parser<http::buffer_body>> parser_;
-  std::string body_;                 // not yet delivered
-  bool streaming_response_ = false;  // delivered piece by piece; has begun
-  bool awaiting_consumer_ = false;   // a piece was delivered and not yet consumed
-  bool delivering_ = false;          // within the call that delivers a piece
+  std::optional<BackendResponse> response_;  // once its header was parsed
+  std::string body_;                         // not yet delivered
+  bool streaming_response_ = false;          // delivered piece by piece; has begun
+  bool awaiting_consumer_ = false;           // a piece was delivered and not yet consumed
+  bool delivering_ = false;                  // within the call that delivers a piece
   size_t delivered_bytes_ = 0;
   Clock::time_point response_due_at_;          // while HasResponseDeadline()
   std::optional<size_t> delivered_when_late_;  // at the latest check after the request's deadline
--- a/src/net/backend_pool.cpp
+++ b/src/net/backend_pool.cpp
@@ -28,8 +28,8 @@
 };
 
 BackendPool::BackendPool(asio::io_context& io, double idle_s, double connect_timeout_s, double drain_grace_s,
-                         size_t max_connections, Metrics* metrics)
-    : io_(io), max_connections_(max_connections), metrics_(metrics) {
+                         size_t max_connections, Metrics* metrics, const MemoryBudget* memory)
+    : io_(io), max_connections_(max_connections), metrics_(metrics), memory_(memory) {
   SetLimits(idle_s, connect_timeout_s, drain_grace_s);
 }
 
--- a/src/net/backend_pool.h
+++ b/src/net/backend_pool.h
@@ -14,6 +14,7 @@
 #include "net/attempt.h"
 #include "net/backend_connection.h"
 #include "net/http.h"
+#include "net/memory_budget.h"
 #include "net/metrics.h"
 #include "net/steady_clock.h"
 
@@ -31,8 +32,9 @@
   /// @param drain_grace_s how long a draining backend still accepts new requests
   /// @param max_connections limit on all connections, idle ones included
   /// @param metrics not owned
+  /// @param memory limits what the connections buffer; must outlive the pool. None: no such limit
   BackendPool(asio::io_context& io, double idle_s, double connect_timeout_s, double drain_grace_s,
-              size_t max_connections, Metrics* metrics);
+              size_t max_connections, Metrics* metrics, const MemoryBudget* memory = nullptr);
   ~BackendPool();
 
   /// Marks the backend as ready at `address`.
@@ -84,8 +86,11 @@
   // For BackendConnection.
   // One attempt's share of the buffer budget.
   size_t MaxBufferedBytes() const {
-    return std::min(kMaxBody, buffer_budget_bytes_ / std::max<size_t>(1, in_flight_.size()));
+    size_t share = buffer_budget_bytes_ / std::max<size_t>(1, in_flight_.size());
+    return std::min(share, memory_ == nullptr ? kMaxBody : memory_->MaxBodyBytes());
   }
+  // The most that is read at once of a response that is streamed.
+  size_t MaxPieceBytes() const { return memory_ == nullptr ? kMaxPieceBytes : memory_->MaxPieceBytes(); }
   bool IsSendAllowed(uint32_t id);
   // Like IsSendAllowed, but applies the limits of the protocol without the margins for a stalled process.
   bool IsSendWithinGrace(uint32_t id, Clock::time_point now);
@@ -97,8 +102,10 @@
   Clock::duration idle_timeout_, connect_timeout_, drain_grace_;
   size_t max_connections_, buffer_budget_bytes_ = 0;
   Metrics* metrics_;
-  std::array<char, kMaxPieceBytes> decode_buffer_;  // output of a parser, valid within one call
-  size_t connections_ = 0;                          // idle, connecting and busy
+  const MemoryBudget* memory_;
+  // Valid within one call: bytes of one read, and the output of a parser.
+  std::array<char, kMaxPieceBytes> read_buffer_, decode_buffer_;
+  size_t connections_ = 0;  // idle, connecting and busy
   uint64_t last_attempt_ = 0;
   std::unordered_map<uint32_t, std::unique_ptr<Backend>> backends_;
   std::unordered_set<uint32_t> offline_;
--- a/src/net/backend_response.h
+++ b/src/net/backend_response.h
@@ -27,6 +27,14 @@
                  [](const auto& field) { return IsInternalHeader(ToStringView(field.name_string())); });
 }
 
+/// What is kept of a response's header once it has been parsed.
+struct BackendResponse {
+  unsigned status = 0;
+  bool not_started = false;  ///< The backend says that the request has had no effect.
+  double actual_units = 0;   ///< See AttemptEnd.
+  std::string headers;       ///< Header lines for the client.
+};
+
 /// Parses X-Cost-Units.
 /// @return 0 if it is not a positive number
 inline double ParseCostUnits(std::string_view text) {
@@ -37,6 +45,22 @@
   return valid ? std::min(units, kMaxReportedUnits) : 0;
 }
 
+/// Takes what is needed from a parsed header and frees its fields, each of which takes far more memory than
+/// its text.
+template <typename Header>
+BackendResponse TakeBackendResponse(Header& header) {
+  BackendResponse response;
+  response.status = header.result_int();
+  response.not_started = ToStringView(header["Not-Started"]) == "1";
+  if (response.status == 200) {
+    response.actual_units = ParseCostUnits(ToStringView(header["X-Cost-Units"]));
+    AppendClientHeaders(header, &response.headers);
+    response.headers.shrink_to_fit();
+  }
+  header.clear();
+  return response;
+}
+
 }  // namespace lemonchute::net
 
 #endif  // LEMONCHUTE_NET_BACKEND_RESPONSE_H_
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -31,15 +31,14 @@
 constexpr auto kUploadCheckInterval = std::chrono::milliseconds(250);
 // Upper bound of the bytes in the client's send buffer: twice the kernel's default limit (tcp(7), tcp_wmem).
 constexpr uint64_t kMaxSendBufferBytes = uint64_t{8} << 20;
+// How long a request is left unread for want of memory before it is refused.
+constexpr auto kMaxMemoryWait = std::chrono::milliseconds(150);
+constexpr size_t kMaxIdleBufferBytes = 1024;  // that an idle connection keeps
 
 }  // namespace
 
 ClientConnection::ClientConnection(ClientServer* server, uint64_t id, tcp::socket socket)
-    : server_(server),
-      id_(id),
-      socket_(std::move(socket)),
-      timer_(server->io_),
-      buffer_(kMaxPipelinedBytes + kReadChunk) {}
+    : server_(server), id_(id), socket_(std::move(socket)), timer_(server->io_), buffer_() {}
 
 void ClientConnection::Start() {
   AwaitRequest();
@@ -144,7 +143,7 @@
   socket_.shutdown(tcp::socket::shutdown_send, error);
   for (size_t total = 0, size = 1; size > 0 && total < kMaxLingerBytes; total += size)
     size = RetryOnInterrupt(error, [&](error_code& failed) {
-      return socket_.receive(asio::buffer(server_->decode_buffer_), 0, failed);
+      return socket_.receive(asio::buffer(server_->read_buffer_), 0, failed);
     });
   CloseNow(socket_);
 }
@@ -157,15 +156,33 @@
 // Bytes of the next request may be in the buffer already.
 void ClientConnection::AwaitRequest() {
   state_ = State::kReading;
-  request_begun_ = continue_sent_ = body_timer_started_ = streaming_request_ = false;
+  request_begun_ = continue_sent_ = expects_continue_ = body_timer_started_ = streaming_request_ = false;
   body_.clear();
   ResetParser(&parser_, kMaxStreamedBytes);
   idle_position_ = server_->idle_order_.insert(server_->idle_order_.end(), id_);
 }
 
 bool ClientConnection::IsBufferFull() const {
-  size_t limit = streaming_request_ ? 2 * kMaxPieceBytes : kMaxHeader + server_->MaxBufferedBytes();
-  return buffer_.size() >= limit;
+  if (!streaming_request_) return buffer_.size() >= kMaxPipelinedBytes;
+  // While a piece is requested, the buffer holds only an element that is not complete.
+  return buffer_.size() >= (on_piece_ ? kMaxHeader + kReadChunk : MaxPieceBytes());
+}
+
+size_t ClientConnection::MaxPieceBytes() const { return server_->memory_.MaxPieceBytes(); }
+
+// Bytes of a request that has not begun to be served are read only while memory is free, and so are those
+// that follow it.
+bool ClientConnection::WaitsForMemory() const {
+  if (state_ == State::kLingering || streaming_request_) return false;
+  if (state_ == State::kReading) return server_->memory_.IsExhausted();
+  return buffer_.size() >= kMaxHeader + server_->MaxBufferedBytes() && buffer_.size() < kMaxPipelinedBytes;
+}
+
+size_t ClientConnection::MaxReadBytes() const {
+  if (IsBufferFull()) return server_->read_buffer_.size();  // to be discarded
+  if (streaming_request_)
+    return std::max(kReadChunk, MaxPieceBytes() - std::min(MaxPieceBytes(), buffer_.size()));
+  return request_begun_ ? server_->read_buffer_.size() : kReadChunk;
 }
 
 // The bytes of an upload are never discarded; they wait until they are requested.
@@ -193,33 +210,55 @@
     socket_drained_ = false;
     return;
   }
+  if (!error && WaitsForMemory()) return PauseReading();
+  paused_at_.reset();
   if (streaming_request_ && !MayBeComplete(socket_drained_)) incomplete_until_ = Clock::now();
   bool discard = IsBufferFull();
   size_t size = 0;
   if (!error) {
-    auto target = discard ? asio::buffer(server_->decode_buffer_) : buffer_.prepare(kReadChunk);
+    auto target = asio::buffer(server_->read_buffer_, MaxReadBytes());
     size = RetryOnInterrupt(error, [&](error_code& failed) { return socket_.read_some(target, failed); });
     socket_drained_ = size < asio::buffer_size(target);
   }
   if (error == asio::error::would_block) return Read();
   // The client has disconnected. Without a request in flight this only ends the connection.
   if (error) return Close(CloseReason::kClientEnded);
-  discard ? Discard(size) : OnBytes(size);
+  discard ? Discard(size) : OnBytes(server_->read_buffer_.data(), size);
   Read();
 }
 
+void ClientConnection::PauseReading() {
+  if (!paused_at_) paused_at_ = Clock::now();
+  socket_drained_ = false;
+  server_->PauseReading(id_);
+}
+
+void ClientConnection::ResumeReading() {
+  if (state_ == State::kClosed || reading_ || !paused_at_) return;
+  if (!IsClientConnected()) return Close(CloseReason::kClientEnded);
+  if (!WaitsForMemory()) return Read();
+  if (state_ != State::kReading || Clock::now() < *paused_at_ + kMaxMemoryWait) return PauseReading();
+  ++server_->memory_refusals_;
+  LeaveIdleOrder();
+  if (read_timer_running_) timer_.Cancel();
+  ClientResponse response;
+  response.status = 503;
+  Write(response, false);
+}
+
 void ClientConnection::Discard(size_t size) {
   keep_alive_ = false;
   discarded_bytes_ += size;
 }
 
-void ClientConnection::OnBytes(size_t size) {
-  buffer_.commit(size);
+void ClientConnection::OnBytes(const char* bytes, size_t size) {
   if (state_ == State::kLingering) {
     lingered_bytes_ += size;
-    buffer_.clear();
     if (lingered_bytes_ > kMaxLingerBytes) Close(CloseReason::kAnsweredLast);
-  } else if (state_ == State::kReading) {
+    return;
+  }
+  AppendReceived(buffer_, bytes, size);
+  if (state_ == State::kReading) {
     pipelined_at_.reset();
     Parse();
   } else {
@@ -245,6 +284,7 @@
   if (error) return RejectMalformed(error);
   if (parser_->is_done() && body_.size() <= max_buffered) return DispatchRequest(std::nullopt);
   if (parser_->is_header_done()) {
+    expects_continue_ = boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
     auto length = parser_->content_length();
     if (body_.size() > max_buffered || (length && *length > max_buffered)) {
       return DispatchRequest(Upload{length ? std::optional<uint64_t>(*length) : std::nullopt});
@@ -271,10 +311,7 @@
 
 // Sends 100 Continue, once, if the client waits for it.
 void ClientConnection::SendContinue() {
-  if (continue_sent_ || parser_->is_done() ||
-      !boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-    return;
-  }
+  if (continue_sent_ || parser_->is_done() || !expects_continue_) return;
   continue_sent_ = true;
   static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   error_code ignored;  // reported by the pending read
@@ -295,7 +332,8 @@
     upload_rate_.Begin(Clock::now(), on_piece_ != nullptr);
     ScheduleUploadCheck();
   }
-  ClientMessage message{parser_->get().base()};
+  if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  ClientMessage message{std::move(parser_->get().base())};
   message.body() = std::exchange(body_, std::string());
   server_->on_request_(id_, std::move(message), upload);
 }
@@ -317,7 +355,7 @@
 // Passes the next piece of an upload to the callback that requested it. At most one piece is decoded ahead.
 void ClientConnection::DeliverUpload() {
   // There is no response to a framing error once a part of the request was forwarded.
-  if (Decode(kMaxPieceBytes)) return Close(CloseReason::kBrokenBody);
+  if (Decode(MaxPieceBytes())) return Close(CloseReason::kBrokenBody);
   if (!on_piece_ || (body_.empty() && !parser_->is_done())) return;
   bool last = parser_->is_done();
   if (last) {
@@ -367,7 +405,7 @@
 }
 
 void ClientConnection::OnResponseSent(bool keep_alive) {
-  if (writing_.capacity() > kMaxHeader) writing_ = std::string();
+  if (writing_.capacity() > kMaxIdleBufferBytes) writing_ = std::string();
   if (!keep_alive || discarded_bytes_ > 0) return Linger();
   AwaitRequest();
   if (buffer_.size() == 0) return Read();
@@ -386,8 +424,7 @@
     return;
   }
   stream_write_pending_ = true;
-  writing_.swap(pending_);
-  pending_.clear();
+  writing_ = std::exchange(pending_, std::string());
   WriteAll(socket_, writing_, [self = shared_from_this(), this](error_code error) {
     stream_write_pending_ = false;
     if (state_ == State::kClosed) return;
@@ -434,6 +471,7 @@
   state_ = State::kLingering;
   ++server_->lingering_connections_;
   buffer_.clear();
+  buffer_.shrink_to_fit();
   error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   timer_.Start(timeout, [self = shared_from_this(), this, reason] { Close(reason); });
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -70,6 +70,8 @@
   Clock::time_point IncompleteUntil();
   /// Whether the client is still connected. Also detects a close that is still unread in the socket's buffer.
   bool IsClientConnected();
+  /// Reads again, or refuses the request if memory has been short for long.
+  void ResumeReading();
   /// Closes the socket and reports the end of the connection. Idempotent.
   void Close(CloseReason reason);
   /// Closes the socket at the end of the process without reporting it.
@@ -90,10 +92,14 @@
   void LeaveIdleOrder();
   bool IsBufferFull() const;
   bool CanRead() const;
+  bool WaitsForMemory() const;
+  void PauseReading();
+  size_t MaxReadBytes() const;
+  size_t MaxPieceBytes() const;
   void Read();
   void OnReadable(error_code error);
   void Discard(size_t size);
-  void OnBytes(size_t size);
+  void OnBytes(const char* bytes, size_t size);
   void Parse();
   error_code Decode(size_t max_body);
   void SendContinue();
@@ -131,7 +137,9 @@
   std::optional<http::request_parser<http::buffer_body>> parser_;
   std::string body_;  // decoded, not yet passed on
   unsigned version_ = 11;
-  bool reading_ = false;             // a wait for bytes is pending
+  bool reading_ = false;                        // a wait for bytes is pending
+  std::optional<Clock::time_point> paused_at_;  // not read from for want of memory
+  bool expects_continue_ = false;               // the client waits for 100 Continue
   bool socket_drained_ = false;      // the latest read left none, and a wait has been pending since
   bool request_begun_ = false;       // its first byte has arrived
   bool read_timer_running_ = false;  // for its header or body
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -9,16 +9,20 @@
 
 // At the connection limit, one in this many connections is evicted if it is idle.
 constexpr size_t kEvictionDivisor = 8;
+// How often a connection that is not read from for want of memory is looked at again.
+constexpr auto kResumeInterval = std::chrono::milliseconds(20);
 
 }  // namespace
 
-ClientServer::ClientServer(asio::io_context& io, size_t max_connections, OnRequest on_request,
-                           OnClosed on_closed)
+ClientServer::ClientServer(asio::io_context& io, size_t max_connections, const MemoryBudget& memory,
+                           OnRequest on_request, OnClosed on_closed)
     : io_(io),
       listener_(io),
       max_connections_(max_connections),
       on_request_(std::move(on_request)),
-      on_closed_(std::move(on_closed)) {}
+      on_closed_(std::move(on_closed)),
+      memory_(memory),
+      resume_timer_(io) {}
 
 ClientServer::~ClientServer() {
   for (auto& [id, connection] : connections_) connection->Detach();
@@ -106,7 +110,19 @@
 }
 
 size_t ClientServer::MaxBufferedBytes() const {
-  return std::min(kMaxBody, buffer_budget_bytes_ / std::max<size_t>(1, connections_.size()));
+  size_t share = buffer_budget_bytes_ / std::max<size_t>(1, connections_.size());
+  return std::min(share, memory_.MaxBodyBytes());
+}
+
+void ClientServer::PauseReading(uint64_t id) {
+  paused_.push_back(id);
+  if (paused_.size() == 1) resume_timer_.Start(kResumeInterval, [this] { ResumeReading(); });
+}
+
+void ClientServer::ResumeReading() {
+  for (uint64_t id : std::exchange(paused_, {})) {
+    if (auto connection = Find(id)) connection->ResumeReading();
+  }
 }
 
 void ClientServer::CloseIdle() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -11,10 +11,13 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "net/backend_pool.h"
 #include "net/client_connection.h"
 #include "net/listener.h"
+#include "net/memory_budget.h"
+#include "net/one_shot_timer.h"
 #include "net/reasons.h"
 
 namespace lemonchute::net {
@@ -32,7 +35,9 @@
   /// A connection has ended. `in_flight`: a request on it had no response yet.
   using OnClosed = std::function<void(uint64_t connection, bool in_flight, CloseReason reason)>;
 
-  ClientServer(asio::io_context& io, size_t max_connections, OnRequest on_request, OnClosed on_closed);
+  /// @param memory limits what the connections buffer; must outlive the server
+  ClientServer(asio::io_context& io, size_t max_connections, const MemoryBudget& memory, OnRequest on_request,
+               OnClosed on_closed);
   ~ClientServer();
 
   /// @throws boost::system::system_error if the address can't be listened on
@@ -64,6 +69,10 @@
   /// Closes a connection whose client has disconnected.
   void CloseDisconnected(uint64_t connection);
 
+  /// @return the number of requests that were refused for want of memory
+  uint64_t memory_refusals() const { return memory_refusals_; }
+  size_t connections() const { return connections_.size(); }
+
   /// While true, each connection is closed after its current response.
   void SetCloseAfterResponse(bool ask) { close_after_response_ = ask; }
   /// Closes the connections on which no request has begun.
@@ -83,19 +92,27 @@
   // For ClientConnection.
   void OnConnectionClosed(uint64_t id, bool in_flight, CloseReason reason);
   size_t MaxBufferedBytes() const;  // one connection's share of the buffer budget
+  // Reads from the connection later, when memory may be free.
+  void PauseReading(uint64_t id);
+  void ResumeReading();
 
   asio::io_context& io_;
   Listener listener_;
   size_t max_connections_, buffer_budget_bytes_ = 0;
   OnRequest on_request_;
   OnClosed on_closed_;
+  const MemoryBudget& memory_;
+  uint64_t memory_refusals_ = 0;
+  std::vector<uint64_t> paused_;  // connections that are not read from for want of memory
+  OneShotTimer resume_timer_;
   uint64_t last_id_ = 0;
   size_t lingering_connections_ = 0;  // shut down for writing, not closed yet
   bool close_after_response_ = false;
   bool accept_paused_ = false;  // the limit of connections is reached
   std::unordered_map<uint64_t, std::shared_ptr<ClientConnection>> connections_;
-  std::list<uint64_t> idle_order_;                  // longest idle first
-  std::array<char, kMaxPieceBytes> decode_buffer_;  // output of a parser, valid within one call
+  std::list<uint64_t> idle_order_;  // longest idle first
+  // Valid within one call: bytes of one read, and the output of a parser.
+  std::array<char, kMaxPieceBytes> read_buffer_, decode_buffer_;
 };
 
 }  // namespace lemonchute::net
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -17,9 +17,9 @@
       policy_(clock_, [this](const policy::Action& action) { Execute(action); }),
       pool_(io, config.socket_settings.connection_idle_s, config.socket_settings.connect_timeout_s,
             config.socket_settings.drain_grace_s, ComputeResourceLimits(config, 1).backend_connections,
-            &metrics_),
+            &metrics_, &memory_),
       server_(
-          io, ComputeResourceLimits(config, 1).client_connections,
+          io, ComputeResourceLimits(config, 1).client_connections, memory_,
           [this](uint64_t connection, ClientMessage message, const std::optional<Upload>& upload) {
             requests_.OnClientRequest(connection, std::move(message), upload);
           },
@@ -39,7 +39,7 @@
           [this] { lifecycle_.CheckShutdown(); }),
       requests_({io, config_, process_, server_, pool_, policy_, timers_, metrics_,
                  [this] { lifecycle_.CheckShutdown(); }}),
-      lifecycle_({io, config_, process_, server_, pool_, policy_, requests_, offline_backends_,
+      lifecycle_({io, config_, process_, server_, pool_, memory_, policy_, requests_, offline_backends_,
                   *config_manager, members_, metrics_}),
       reconfiguration_({config_, policy_, metrics_, pool_, counter_, discovery_, members_,
                         [this] { lifecycle_.ApplyResourceLimits(); }}),
@@ -128,6 +128,13 @@
   Gauges gauges;
   gauges.active_requests = requests_.unanswered();
   gauges.listed_backends = endpoints_.listed_backends();
+  gauges.client_connections = server_.connections();
+  gauges.backend_connections = pool_.connections();
+  gauges.heap_bytes = HeapBytesInUse();
+  gauges.peak_heap_bytes = PeakHeapBytes();
+  gauges.heap_limit_bytes = memory_.limit_bytes();
+  gauges.resident_bytes = ResidentBytes();
+  gauges.memory_refusals = server_.memory_refusals();
   gauges.unavailable_backends = static_cast<uint64_t>(policy_.UnavailableBackends());
   return gauges;
 }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -18,6 +18,7 @@
 #include "net/endpoint_updater.h"
 #include "net/lifecycle.h"
 #include "net/members.h"
+#include "net/memory_budget.h"
 #include "net/metrics.h"
 #include "net/offline_backends.h"
 #include "net/policy_dispatcher.h"
@@ -66,6 +67,7 @@
   GatewayClock clock_;
   BackendIds ids_;
   Metrics metrics_;
+  MemoryBudget memory_;
   PolicyDispatcher policy_;
   BackendPool pool_;
   ClientServer server_;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstring>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,12 +18,21 @@
 
 inline constexpr size_t kMaxBody = 64 * 1024;        ///< Maximum size of a buffered body.
 inline constexpr size_t kMaxHeader = 16 * 1024;      ///< Maximum size of a message's header.
-inline constexpr size_t kReadChunk = 4096;           ///< Buffer size of one read.
+inline constexpr size_t kReadChunk = 4096;           ///< Maximum size of one read of a small message.
 inline constexpr size_t kMaxPieceBytes = 16 * 1024;  ///< Maximum size of one piece of a streamed body.
 inline constexpr uint64_t kMaxStreamedBytes = uint64_t{48} << 20;  ///< Maximum size of a streamed body.
 
 inline std::string_view ToStringView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+/// Appends received bytes to a buffer, which grows no further than necessary.
+inline void AppendReceived(boost::beast::flat_buffer& buffer, const char* bytes, size_t size) {
+  constexpr size_t kGrowthBytes = 1024;
+  buffer.max_size((buffer.size() + size + kGrowthBytes - 1) / kGrowthBytes * kGrowthBytes);
+  auto target = buffer.prepare(size);
+  std::memcpy(target.data(), bytes, size);
+  buffer.commit(size);
+}
+
 /// Whether a header applies to one hop only (RFC 9110, 7.6.1) or is written by the gateway itself.
 inline bool IsHopByHop(http::field name) {
   switch (name) {
--- a/src/net/in_flight_request.cpp
+++ b/src/net/in_flight_request.cpp
@@ -59,6 +59,7 @@
   });
   if (message.find(http::field::host) == message.end()) request.head += "Host: app.svc\r\n";
   AppendBody(message, upload, &request);
+  request.head.shrink_to_fit();
   return request;
 }
 
--- a/src/net/in_flight_request.h
+++ b/src/net/in_flight_request.h
@@ -47,6 +47,8 @@
   bool answered = false;                 // the response was sent, or the client has gone
   bool may_have_run = false;             // a backend may have executed the request
 
+  /// Frees what only a further attempt would need.
+  void ReleaseMessage() { head = body = std::string(); }
   bool HasAttemptInFlight() const {
     return std::any_of(attempts.begin(), attempts.end(),
                        [](const InFlightAttempt& attempt) { return attempt.in_flight; });
--- a/src/net/lifecycle.cpp
+++ b/src/net/lifecycle.cpp
@@ -39,6 +39,7 @@
       process_(parts.process),
       server_(parts.server),
       pool_(parts.pool),
+      memory_(parts.memory),
       policy_(parts.policy),
       requests_(parts.requests),
       offline_backends_(parts.offline_backends),
@@ -105,6 +106,7 @@
 void Lifecycle::ApplyResourceLimits() {
   ResourceLimits limits = ComputeResourceLimits(*config_, ProcessCount());
   server_.SetMaxConnections(limits.client_connections);
+  memory_.SetLimit(limits.memory_bytes);
   server_.SetBufferBudget(limits.body_bytes);
   pool_.SetBufferBudget(limits.body_bytes);
   pool_.SetMaxConnections(limits.backend_connections);
--- a/src/net/lifecycle.h
+++ b/src/net/lifecycle.h
@@ -34,6 +34,7 @@
     ProcessState& process;
     ClientServer& server;
     BackendPool& pool;
+    MemoryBudget& memory;
     PolicyDispatcher& policy;
     RequestLifecycle& requests;
     OfflineBackends& offline_backends;
@@ -82,6 +83,7 @@
   ProcessState& process_;
   ClientServer& server_;
   BackendPool& pool_;
+  MemoryBudget& memory_;
   PolicyDispatcher& policy_;
   RequestLifecycle& requests_;
   OfflineBackends& offline_backends_;
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -330,6 +330,7 @@
   if (found == nullptr || found->answered) return;
   InFlightRequest& request = *found;
   request.answered = true;
+  request.ReleaseMessage();
   double past_deadline_s = std::chrono::duration<double>(Clock::now() - request.deadline).count();
   log_.Log(request.request_id, "answered", "status=%d past_deadline_s=%.4f", response.status,
            past_deadline_s);
@@ -414,6 +415,7 @@
                                         "request=" + request.request_id + " reason=" + Name(reason));
   }
   request.answered = true;
+  request.ReleaseMessage();
   CancelRequest(id);
   if (request.streaming_attempt) CancelAttempt(id, *request.streaming_attempt, 0);
   ReportClientGone(id);
--- a/src/net/resource_limits.h
+++ b/src/net/resource_limits.h
@@ -12,7 +12,8 @@
 struct ResourceLimits {
   size_t client_connections = 0;
   size_t backend_connections = 0;
-  size_t body_bytes = 0;  // for request bodies, and as much again for response bodies
+  size_t memory_bytes = 0;  // resident
+  size_t body_bytes = 0;    // for request bodies, and as much again for response bodies
 };
 
 /// The limits are per gateway: processes that run side by side share them equally.
@@ -29,7 +30,8 @@
   limits.client_connections = static_cast<size_t>(std::max(kMinConnections, descriptors * kClientShare));
   limits.backend_connections =
       static_cast<size_t>(std::max(kMinConnections, descriptors * (1 - kClientShare)));
-  limits.body_bytes = memory_bytes / kBodyDivisor / static_cast<size_t>(process_count);
+  limits.memory_bytes = memory_bytes / static_cast<size_t>(process_count);
+  limits.body_bytes = limits.memory_bytes / kBodyDivisor;
   return limits;
 }
 
--- /dev/null
+++ b/tests/memory_limit_test.cpp
@@ -0,0 +1,163 @@
+// A gateway with little memory and hundreds of clients stays under its limit, and answers those who are
+// sound.
+#include <atomic>
+#include <chrono>
+#include <string>
+
+#include "client_crowd.h"
+#include "gateway_site.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+
+constexpr int kMemoryMb = 32;                  // the least that a gateway is given (TERMS)
+constexpr size_t kDescriptors = 1024;          // the most
+constexpr size_t kClients = kDescriptors / 3;  // the most that clients hold for requests (TERMS)
+constexpr int kBackends = 200;                 // enough that no request is refused for want of capacity
+
+// A gateway at the least memory and its backends.
+struct SmallSite {
+  explicit SmallSite(Backend::Handler handler, int memory_mb = kMemoryMb) : backend(std::move(handler)) {
+    json config = DefaultConfig(0, 0);
+    config["limits"]["memory_mb"] = memory_mb;
+    config["limits"]["sockets"] = kDescriptors;
+    json entries = json::array();
+    for (int i = 0; i < kBackends; ++i)
+      entries.push_back(EndpointEntry(std::string("s").append(std::to_string(i)), backend.port()));
+    fixture = std::make_unique<GatewayFixture>(entries, config, LEMONCHUTE_GATEWAY, 0, kAdminEnvironment);
+  }
+  long PeakKb() const {
+    long peak_kb = fixture->gateway->PeakMemoryKb();
+    ::testing::Test::RecordProperty("peak_kb", std::to_string(peak_kb));
+    return peak_kb;
+  }
+  int port() const { return fixture->gateway->port; }
+
+  Backend backend;
+  std::unique_ptr<GatewayFixture> fixture;
+};
+
+// A sound client that uses the gateway beside the crowd. Refusals are answers, too.
+void ExpectSoundClientIsAnswered(const SmallSite& site) {
+  constexpr int kTimeoutMs = 1000;
+  auto client = site.fixture->gateway->Connect();
+  auto sent_at = std::chrono::steady_clock::now();
+  int status = SendRequest(*client, RequestOfNewCustomer("quote")).status();
+  EXPECT_TRUE(status == 200 || status == 503) << status;
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, std::chrono::milliseconds(kTimeoutMs + 550));
+}
+
+std::string WithHeaders(std::string request, const std::string& headers) {
+  return request.insert(request.find("Request-Id"), headers);
+}
+
+// Sixteen kilobytes of the shortest fields.
+std::string ManyShortFields() {
+  std::string fields;
+  while (fields.size() < 15000) fields += "a:\r\n";
+  return fields;
+}
+
+// Guards against: heads that hundreds of clients wrote slowly took more than the limit.
+TEST(MemoryLimit, HoldsWithManySlowHeads) {
+  SmallSite site(RespondsWith(OkResponse("x")));
+  ClientCrowd crowd(site.port(), kClients, [](size_t) {
+    std::string request = RequestOfNewCustomer("quote");
+    return WithHeaders(request, "X-Long: " + std::string(15000, 'h') + "\r\n").substr(0, 15000);
+  });
+  crowd.Run(std::chrono::milliseconds(1000), false);
+  ExpectSoundClientIsAnswered(site);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: parsed heads of very many short fields took twenty times their size for each request.
+TEST(MemoryLimit, HoldsWithManyShortFields) {
+  SmallSite site([](const Message&, Connection&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    return OkResponse("x");
+  });
+  const std::string fields = ManyShortFields();
+  ClientCrowd crowd(site.port(), kClients,
+                    [&](size_t) { return WithHeaders(RequestOfNewCustomer("quote"), fields); });
+  crowd.Run(std::chrono::milliseconds(800), false);
+  ExpectSoundClientIsAnswered(site);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: uploads that stopped half way each held the buffers of several pieces.
+TEST(MemoryLimit, HoldsWithUploadsThatStopHalfWay) {
+  SmallSite site(RespondsWith(OkResponse("x")));
+  ClientCrowd crowd(site.port(), kClients, [](size_t i) {
+    std::string request = RequestOfNewCustomer("send-lead");
+    size_t length = i % 2 == 0 ? 1000000 : 60000;
+    request = WithHeaders(request, "Content-Length: " + std::to_string(length) + "\r\n");
+    return request + std::string(length / 2, 'b');
+  });
+  crowd.Run(std::chrono::milliseconds(1500), false);
+  ExpectSoundClientIsAnswered(site);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: each client that read a long response slowly held the buffers of several pieces.
+TEST(MemoryLimit, HoldsWithSlowReadersOfLongResponses) {
+  const std::string body = NumberedText(3000000);
+  SmallSite site([&](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + ChunkedBody(body, 50000) +
+                     "0\r\n\r\n");
+    return std::string();
+  });
+  ClientCrowd crowd(site.port(), kClients, [](size_t i) {
+    std::string request = RequestOfNewCustomer(i % 2 == 0 ? "quote" : "send-lead");
+    if (i % 2 == 0) return WithHeaders(request, "X-Long: " + std::string(8000, 'h') + "\r\n");
+    size_t length = 1000 + 63000 * i / kClients;
+    return WithHeaders(request, "Content-Length: " + std::to_string(length) + "\r\n") +
+           std::string(length, 'b');
+  });
+  crowd.Run(std::chrono::milliseconds(2500), false);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+  // What was taken is answered: the clients read on and get whole responses or refusals.
+  crowd.Run(std::chrono::milliseconds(8000), true, [&](const ClientCrowd::Client& client) {
+    return client.ended || client.received_bytes > body.size();
+  });
+  for (const ClientCrowd::Client& client : crowd.clients())
+    EXPECT_FALSE(client.received.empty()) << "a request that was taken got no answer";
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: the kinds above together took more than the limit, though each kind had its own.
+TEST(MemoryLimit, HoldsWithAllKindsOfSlowClients) {
+  const std::string body = NumberedText(3000000), fields = ManyShortFields();
+  SmallSite site([&](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\n" + ManyShortFields() + "\r\n" + body);
+    return std::string();
+  });
+  ClientCrowd crowd(site.port(), kClients, [&](size_t i) {
+    std::string read = WithHeaders(RequestOfNewCustomer("quote"), fields);
+    std::string sent = WithHeaders(RequestOfNewCustomer("send-lead"), "Content-Length: 1000000\r\n");
+    switch (i % 3) {
+      case 0: return read;
+      case 1: return read.substr(0, 15000);
+      default: return sent + std::string(500000, 'b');
+    }
+  });
+  crowd.Run(std::chrono::milliseconds(2000), false);
+  ExpectSoundClientIsAnswered(site);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: answers that are whole in the gateway waited there for clients that did not read.
+TEST(MemoryLimit, HoldsWithSlowReadersOfBufferedResponses) {
+  const std::string body = NumberedText(64000);
+  SmallSite site(RespondsWith(OkResponse(body)));
+  // The second request of each connection finds the client's socket full.
+  ClientCrowd crowd(site.port(), kClients, [](size_t) {
+    std::string requests;
+    for (int i = 0; i < 100; ++i) requests += RequestOfNewCustomer("quote");
+    return requests;
+  });
+  crowd.Run(std::chrono::milliseconds(3000), false);
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+}  // namespace
