Let a long response of unknown length pause after its deadline

A first lump just under 64 KiB and a pause look like a small response that never ends.

Change: one of which more than two thirds of 64 KiB (43,690 bytes) were passed on is taken for a long one. One that has given less is judged as before: a small one that stops or trickles is cut off in time.

SlowBackend.LongResponseInLumpsIsCompletedAfterTheTimeout (lumps of 48,000 bytes, pauses of 1.8 s, 0.5 s of time; chunked and to the end of the connection) before: "Value of: ReadChunkedBody(*client) == body, Actual: false, Expected: true", both ways. The tests of slow backends and of attempts pass unchanged.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -31,6 +31,9 @@
 // each kLateResponseGrace: a quarter of the rate of the slowest peers, since the process may be held up
 // meanwhile.
 constexpr size_t kMinLateBytes = 4096;
+// A response of unknown length of which more than this has been passed on is taken to be larger than kMaxBody.
+// Its backend may pause.
+constexpr size_t kMinLongResponseBytes = kMaxBody * 2 / 3;
 // Backoff between connects that fail because a local resource is exhausted.
 constexpr auto kMinConnectBackoff = std::chrono::milliseconds(2);
 constexpr auto kMaxConnectBackoff = std::chrono::milliseconds(50);
@@ -153,7 +156,8 @@
 // Whether a streamed response must end soon after the request's deadline. A response larger than kMaxBody
 // only has to begin in time and to make progress.
 bool BackendConnection::HasResponseDeadline() const {
-  return parser_->content_length().value_or(0) <= kMaxBody && delivered_bytes_ <= kMaxBody;
+  auto length = parser_->content_length();
+  return length ? *length <= kMaxBody : delivered_bytes_ <= kMinLongResponseBytes;
 }
 
 // Called when the response is due. One of unknown length may be larger than kMaxBody although that much of it
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -208,6 +208,31 @@
   }
 }
 
+// Guards against: a long response of unknown length that came in lumps was cut off while its backend paused.
+TEST(SlowBackend, LongResponseInLumpsIsCompletedAfterTheTimeout) {
+  constexpr size_t kLumpBytes = 48000;  // less than a response that is judged by its last byte may have
+  constexpr auto kPause = std::chrono::milliseconds(1800);
+  const std::string body = NumberedText(3 * kLumpBytes);
+  for (bool chunked : {false, true}) {
+    Backend backend([&](const Message&, Connection& connection) {
+      connection.Write(std::string("HTTP/1.1 200 OK\r\n") +
+                       (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+      for (size_t offset = 0; offset < body.size(); offset += kLumpBytes) {
+        std::string lump = body.substr(offset, kLumpBytes);
+        connection.Write(chunked ? ChunkedBody(lump, kLumpBytes) : lump);
+        std::this_thread::sleep_for(kPause);
+      }
+      if (chunked) connection.Write("0\r\n\r\n");
+      return std::string();
+    });
+    GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+    auto client = fixture.gateway->Connect();
+    client->Write(Request("quote", 1, 500));
+    EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+    EXPECT_TRUE(ReadChunkedBody(*client) == body) << "chunked " << chunked;
+  }
+}
+
 // One that stops is cut off before it counts as lost: half a second after the client's timeout, and 50 ms.
 TEST(SlowBackend, ResponseOfUnknownLengthThatStopsIsCutOffInTime) {
   constexpr int kTimeoutMs = 600;
