Keep events that arise within the policy's actions out of the policy until all are executed

Cause: sending an attempt on an open connection pulls the first piece of an upload within the policy's action. A framing error in that piece closed the client's connection at once, which told the policy that the client has gone: a second event swapped and cleared the list of actions that the first one was walking.

Change: the connection closes after the current call (PostClose), as after failed writes. PolicyDispatcher queues an event that arrives while actions are executed, and counts it (violations.reentry); events own what they need. An attempt whose upload can't be completed any more ends with its request, also where the settings allow no cancelling. New metric attempts_in_flight.

--- a/src/net/admin_api.cpp
+++ b/src/net/admin_api.cpp
@@ -84,6 +84,7 @@
   AppendMetrics(metrics_, line);
   Gauges gauges = read_gauges_();
   line("active", gauges.active_requests);
+  line("attempts_in_flight", gauges.attempts_in_flight);
   line("pool_size", gauges.listed_backends);
   line("pool_ejected", gauges.unavailable_backends);
   line("connections.clients", gauges.client_connections);
--- a/src/net/admin_api.h
+++ b/src/net/admin_api.h
@@ -20,6 +20,7 @@
 /// Metrics whose current values are read for each request.
 struct Gauges {
   uint64_t active_requests = 0;
+  uint64_t attempts_in_flight = 0;
   uint64_t listed_backends = 0;
   uint64_t unavailable_backends = 0;
   uint64_t client_connections = 0;
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -31,8 +31,8 @@
 // each kLateResponseGrace: a quarter of the rate of the slowest peers, since the process may be held up
 // meanwhile.
 constexpr size_t kMinLateBytes = 4096;
-// A response of unknown length of which more than this has been passed on is taken to be larger than kMaxBody.
-// Its backend may pause.
+// A response of unknown length of which more than this has been passed on is taken to be larger than
+// kMaxBody. Its backend may pause.
 constexpr size_t kMinLongResponseBytes = kMaxBody * 2 / 3;
 // Backoff between connects that fail because a local resource is exhausted.
 constexpr auto kMinConnectBackoff = std::chrono::milliseconds(2);
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -132,6 +132,12 @@
   server_->OnConnectionClosed(id_, in_flight, reason);
 }
 
+// The caller may be executing actions of the policy, which must not see the end of the connection before all
+// of them are executed.
+void ClientConnection::PostClose(CloseReason reason) {
+  asio::post(server_->io_, [self = shared_from_this(), this, reason] { Close(reason); });
+}
+
 // Reads the bytes that the client has sent before closing. Otherwise the close would reset the connection
 // before the client has read what was written to it.
 void ClientConnection::Detach() {
@@ -354,8 +360,10 @@
 
 // Passes the next piece of an upload to the callback that requested it. At most one piece is decoded ahead.
 void ClientConnection::DeliverUpload() {
+  if (upload_broken_) return;
   // There is no response to a framing error once a part of the request was forwarded.
-  if (Decode(MaxPieceBytes())) return Close(CloseReason::kBrokenBody);
+  upload_broken_ = Decode(MaxPieceBytes()).failed();
+  if (upload_broken_) return PostClose(CloseReason::kBrokenBody);
   if (!on_piece_ || (body_.empty() && !parser_->is_done())) return;
   bool last = parser_->is_done();
   if (last) {
@@ -398,7 +406,7 @@
   WriteAll(socket_, writing_, [self = shared_from_this(), this, keep_alive](error_code error) {
     if (state_ == State::kClosed) return;
     timer_.Cancel();
-    if (error) return asio::post(server_->io_, [self, this] { Close(CloseReason::kClientEnded); });
+    if (error) return PostClose(CloseReason::kClientEnded);
     OnResponseSent(keep_alive);
   });
   StartWriteTimer();
@@ -429,7 +437,7 @@
     stream_write_pending_ = false;
     if (state_ == State::kClosed) return;
     timer_.Cancel();
-    if (error) return asio::post(server_->io_, [self, this] { Close(CloseReason::kClientEnded); });
+    if (error) return PostClose(CloseReason::kClientEnded);
     if (!pending_.empty()) return FlushStream();
     if (auto on_consumed = std::exchange(on_consumed_, nullptr)) on_consumed();
     FlushStream();
@@ -454,7 +462,7 @@
   // the connection, only a reset shows that it was cut off.
   error_code ignored;
   if (close_delimited_) socket_.set_option(tcp::socket::linger(true, 0), ignored);
-  asio::post(server_->io_, [self = shared_from_this(), this] { Close(CloseReason::kCutShort); });
+  PostClose(CloseReason::kCutShort);
 }
 
 // Closes the connection of a client that does not read its response.
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -87,6 +87,8 @@
     kClosed
   };
 
+  void PostClose(CloseReason reason);
+
   // Reading of requests.
   void AwaitRequest();
   void LeaveIdleOrder();
@@ -152,7 +154,8 @@
 
   // Its upload.
   bool streaming_request_ = false;
-  OnPiece on_piece_;  // set while a piece is requested
+  bool upload_broken_ = false;  // its framing is invalid; the connection is about to be closed
+  OnPiece on_piece_;            // set while a piece is requested
   UploadRate upload_rate_;
 
   // The response.
--- a/src/net/counter_calls.cpp
+++ b/src/net/counter_calls.cpp
@@ -30,7 +30,7 @@
 }
 
 void CounterCalls::OnResponse(const policy::CounterResponse& response) {
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([response](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnCounterResponse(now_s, response, actions);
   });
 }
--- a/src/net/endpoint_updater.cpp
+++ b/src/net/endpoint_updater.cpp
@@ -24,7 +24,8 @@
     ReplaceListed(list);
   }
   if (kind != EndpointListKind::kCached) start_times_.EndList();
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([kind, endpoints = std::move(endpoints)](policy::Balancer& balancer, double now_s,
+                                                            policy::Actions* actions) {
     balancer.OnEndpointList(now_s, kind, endpoints, actions);
   });
 }
@@ -42,7 +43,7 @@
   if (!ahead_s) return;
   ++metrics_.clock_steps;
   std::fprintf(stderr, "wall clock step detected: now %.1f s ahead of its offset at startup\n", *ahead_s);
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions*) {
+  policy_.Dispatch([ahead_s](policy::Balancer& balancer, double now_s, policy::Actions*) {
     balancer.OnWallClock(now_s, *ahead_s);
   });
 }
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -14,7 +14,9 @@
 
 Gateway::Gateway(asio::io_context& io, const Config& config, ConfigurationManager* config_manager)
     : config_(std::make_shared<const Config>(config)),
-      policy_(clock_, [this](const policy::Action& action) { Execute(action); }),
+      policy_(
+          clock_, [this](const policy::Action& action) { Execute(action); },
+          [this] { metrics_.invariants.RecordViolation(Invariant::kNoReentry, "event within an action"); }),
       pool_(io, config.socket_settings.connection_idle_s, config.socket_settings.connect_timeout_s,
             config.socket_settings.drain_grace_s, ComputeResourceLimits(config, 1).backend_connections,
             &metrics_, &memory_),
@@ -103,7 +105,7 @@
   if (kind == TimerKind::kResponseDeadline) {
     return requests_.OnResponseDeadline(static_cast<uint32_t>(tag));
   }
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([tag](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnTimer(now_s, tag, actions);
   });
 }
@@ -127,6 +129,7 @@
 Gauges Gateway::ReadGauges() {
   Gauges gauges;
   gauges.active_requests = requests_.unanswered();
+  gauges.attempts_in_flight = requests_.CountAttemptsInFlight();
   gauges.listed_backends = endpoints_.listed_backends();
   gauges.client_connections = server_.connections();
   gauges.backend_connections = pool_.connections();
--- a/src/net/invariants.cpp
+++ b/src/net/invariants.cpp
@@ -16,6 +16,7 @@
     case Invariant::kSentInTime: return "sent_in_time";
     case Invariant::kTimeoutAnnounced: return "time_told";
     case Invariant::kSafeRepeat: return "safe_repeat";
+    case Invariant::kNoReentry: return "reentry";
     case Invariant::kReadyInTime: return "ready_in_time";
     case Invariant::kCount: break;
   }
--- a/src/net/invariants.h
+++ b/src/net/invariants.h
@@ -18,6 +18,7 @@
                       // of a draining backend
   kTimeoutAnnounced,  // an attempt's Request-Timeout-Ms is at most the time left plus the protocol's slack
   kSafeRepeat,        // a request that must not run twice is never retried or hedged
+  kNoReentry,         // no event reaches the policy while the actions of another one are executed
   kReadyInTime,       // a process accepts clients within 10 s of its start
   kCount,
 };
--- a/src/net/lifecycle.cpp
+++ b/src/net/lifecycle.cpp
@@ -98,7 +98,7 @@
 }
 
 void Lifecycle::ReportProcessCount() {
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([this](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnProcessCount(now_s, ProcessCount(), actions);
   });
 }
--- a/src/net/offline_backends.cpp
+++ b/src/net/offline_backends.cpp
@@ -34,7 +34,7 @@
 void OfflineBackends::ApplyTo(const std::string& name, bool offline) {
   uint32_t id = ids_.GetOrAssign(name);
   pool_.SetOffline(id, offline);
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([id, offline](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnMaintenance(now_s, id, offline, actions);
   });
 }
--- a/src/net/reconfiguration.cpp
+++ b/src/net/reconfiguration.cpp
@@ -14,16 +14,16 @@
   change->classes = parts_.metrics.CountsForClasses(merged.config.socket_settings.classes);
   change->config = std::make_shared<const Config>(std::move(merged.config));
   change->counter = parts_.counter.Prepare(*change->config);
-  return [this, change] { Commit(*change); };
+  return [this, change] { Commit(change); };
 }
 
 // The policy changes first, in one step. The clients of discovery and the counter then start as after a lost
 // connection and retry what fails.
-void Reconfiguration::Commit(PreparedChange& change) noexcept {
-  parts_.config = std::move(change.config);
-  parts_.metrics.classes.swap(change.classes);
-  parts_.policy.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
-    balancer.OnSettings(now_s, std::move(change.settings), actions);
+void Reconfiguration::Commit(const std::shared_ptr<PreparedChange>& change) noexcept {
+  parts_.config = std::move(change->config);
+  parts_.metrics.classes.swap(change->classes);
+  parts_.policy.Dispatch([change](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+    balancer.OnSettings(now_s, std::move(change->settings), actions);
   });
   const Config& config = *parts_.config;
   const policy::SocketSettings& socket_settings = config.socket_settings;
@@ -33,7 +33,7 @@
   parts_.discovery.SetSocketSettings({parts_.config, &socket_settings});
   parts_.discovery.SetAddress(config.discovery);
   parts_.members.ApplyConfig(config);
-  parts_.counter.Commit(config, std::move(change.counter));
+  parts_.counter.Commit(config, std::move(change->counter));
 }
 
 }  // namespace lemonchute::net
--- a/src/net/reconfiguration.h
+++ b/src/net/reconfiguration.h
@@ -48,7 +48,7 @@
     std::unique_ptr<CounterClient> counter;  // a new client, needed if there is none so far
   };
 
-  void Commit(PreparedChange& change) noexcept;
+  void Commit(const std::shared_ptr<PreparedChange>& change) noexcept;
 
   const Parts parts_;
 };
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -82,9 +82,10 @@
   call.request.time_left_s = limits.timeout_s - limits.margin_s - waited_s;
   timers_.Add(request.deadline, TimerKind::kResponseDeadline, id);
   if (request.uploading) timers_.Add(ResponseDeadlineOfUpload(request), TimerKind::kResponseDeadline, id);
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
-    balancer.OnRequest(now_s, call.request, actions);
-  });
+  policy_.Dispatch(
+      [request = call.request](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+        balancer.OnRequest(now_s, request, actions);
+      });
 }
 
 void RequestLifecycle::RespondToHealthCheck(uint64_t connection, std::string_view target) {
@@ -231,7 +232,7 @@
   if (request == nullptr || request->answered || request->streaming_attempt) return false;
   request->streaming_attempt = attempt;
   server_.BeginStream(request->connection, headers, length);
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([id, attempt](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnResponseStarted(now_s, id, attempt, actions);
   });
   return true;
@@ -299,7 +300,7 @@
   outcome.actual_units = end.actual_units;
   outcome.upload_s = end.upload_s;
   outcome.body_discarded = request.body_discarded;
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([outcome](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnAttemptOutcome(now_s, outcome, actions);
   });
   reporting_id_ = 0;
@@ -350,13 +351,17 @@
   ++(status == kStatusOk ? count.ok : shed ? count.shed : count.errors);
 }
 
-// Nothing more is sent for a request that is over: an attempt that is still connecting is cancelled, even if
-// the settings don't allow attempts to be cancelled.
+// Nothing more is sent for a request that is over: an attempt that is still connecting, or whose upload can't
+// be completed any more, is cancelled, even if the settings don't allow attempts to be cancelled.
 void RequestLifecycle::CancelRequest(uint32_t id) {
   const InFlightRequest& request = in_flight_.at(id);
   for (size_t i = 0; i < request.attempts.size(); ++i) {
     const InFlightAttempt& attempt = request.attempts[i];
-    if (!attempt.in_flight || !pool_.CancelIfConnecting(attempt.pool_attempt)) continue;
+    bool may_have_run = false;
+    bool cancelled =
+        attempt.in_flight && (request.uploading ? pool_.Cancel(attempt.pool_attempt, &may_have_run)
+                                                : pool_.CancelIfConnecting(attempt.pool_attempt));
+    if (!cancelled) continue;
     PostAttemptEnd(id, static_cast<int>(i), 0, AttemptResult::kNotSent, AttemptEndCause::kCancelled);
   }
 }
@@ -396,7 +401,7 @@
 }
 
 void RequestLifecycle::ReportClientGone(uint32_t id) {
-  policy_.Dispatch([&](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
+  policy_.Dispatch([id](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
     balancer.OnClientGone(now_s, id, actions);
   });
 }
@@ -422,6 +427,14 @@
   EraseIfFinished(id);
 }
 
+size_t RequestLifecycle::CountAttemptsInFlight() const {
+  size_t count = 0;
+  for (const auto& [id, request] : in_flight_) {
+    for (const InFlightAttempt& attempt : request.attempts) count += attempt.in_flight ? 1 : 0;
+  }
+  return count;
+}
+
 void RequestLifecycle::FailAllInFlight() {
   std::vector<uint32_t> unanswered;
   for (const auto& [connection, id] : unanswered_by_connection_) unanswered.push_back(id);
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -62,6 +62,8 @@
   /// client can detect.
   void FailAllInFlight();
 
+  /// @return the number of attempts whose end was not reported yet
+  size_t CountAttemptsInFlight() const;
   /// @return the number of requests that have no response yet
   size_t unanswered() const { return unanswered_by_connection_.size(); }
 
--- a/tests/memory_limit_test.cpp
+++ b/tests/memory_limit_test.cpp
@@ -160,4 +160,80 @@
   EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
 }
 
+// One client that sends requests on one connection as fast as the gateway answers them.
+class FloodingClient {
+ public:
+  FloodingClient(int port, std::function<std::string(uint64_t)> request)
+      : thread_([this, port, request = std::move(request)] {
+          constexpr int kBatch = 100;  // pipelined; less than a connection's buffer
+          std::unique_ptr<Connection> connection;
+          while (!stopping_) {
+            if (connection == nullptr) connection = Connection::ConnectTo(port);
+            std::string batch;
+            for (int i = 0; i < kBatch; ++i) batch += request(written_++);
+            connection->Write(batch);
+            bool complete = true;
+            for (int i = 0; i < kBatch && complete; ++i) complete = connection->Read().complete;
+            if (!complete) connection.reset();
+          }
+        }) {}
+  ~FloodingClient() {
+    stopping_ = true;
+    thread_.join();
+  }
+  uint64_t written() const { return written_; }
+
+ private:
+  std::atomic<bool> stopping_{false};
+  std::atomic<uint64_t> written_{0};
+  std::thread thread_;
+};
+
+std::string OfCustomer(std::string request, uint64_t customer) {
+  char digits[17];
+  std::snprintf(digits, sizeof(digits), "%016llx", static_cast<unsigned long long>(customer));
+  return request.replace(request.find("00000000b4d65521"), 16, digits);
+}
+
+// A second client sends a request every 20 ms and expects each answer in time.
+void ExpectTimelyAnswersBeside(const SmallSite& site, std::function<std::string(uint64_t)> flood) {
+  constexpr auto kDuration = std::chrono::seconds(5);
+  constexpr auto kLatest = std::chrono::milliseconds(550);  // half a second late, and 50 ms
+  FloodingClient flooding(site.port(), std::move(flood));
+  auto client = site.fixture->gateway->Connect();
+  auto end = std::chrono::steady_clock::now() + kDuration;
+  std::chrono::steady_clock::duration longest{};
+  while (std::chrono::steady_clock::now() < end) {
+    auto sent_at = std::chrono::steady_clock::now();
+    int status = SendRequest(*client, Request("quote")).status();
+    EXPECT_TRUE(status == 200 || status == 429 || status == 503) << status;
+    longest = std::max(longest, std::chrono::steady_clock::now() - sent_at);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  EXPECT_LT(longest, kLatest);
+  EXPECT_GT(flooding.written(), 1000u);
+  ::testing::Test::RecordProperty("requests", std::to_string(flooding.written()));
+  ::testing::Test::RecordProperty(
+      "longest_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()));
+}
+
+// Guards against: a client that made up a new customer for each request made the quota's table grow without
+// end, until the process was over its limit.
+TEST(MemoryLimit, HoldsUnderEverNewCustomers) {
+  SmallSite site(RespondsWith(OkResponse("x")));
+  const std::string request = Request("quote", 2);
+  ExpectTimelyAnswersBeside(site, [&](uint64_t i) { return OfCustomer(request, i); });
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
+// Guards against: a client that sent unsound requests at full speed held up all others.
+TEST(MemoryLimit, HoldsUnderUnsoundRequestsAtFullSpeed) {
+  SmallSite site(RespondsWith(OkResponse("x")));
+  ExpectTimelyAnswersBeside(site, [&](uint64_t i) {
+    return "GET /made-up-" + std::to_string(i) + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + std::to_string(i) +
+           "\r\n\r\n";
+  });
+  EXPECT_LT(site.PeakKb(), kMemoryMb << 10);
+}
+
 }  // namespace
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -276,6 +276,31 @@
   EXPECT_LT(Clock::now() - written_at, std::chrono::milliseconds(kTimeoutMs + 550));
 }
 
+// Guards against: an upload that broke while its attempt was being sent left the attempt in flight for ever,
+// so that the gateway refused everything after some of them, and freed memory was used.
+TEST(MisbehavingClient, UploadThatBreaksAsItIsSentLeavesNoAttemptInFlight) {
+  constexpr int kBrokenUploads = 20;
+  Backend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                         kAdminEnvironment);
+  const std::string broken_body = ChunkedBody(std::string(65600, 'b'), 65600) + "not a size\r\n";
+  for (int i = 0; i < kBrokenUploads; ++i) {
+    auto first = fixture.gateway->Connect(), uploading = fixture.gateway->Connect();
+    // Leaves an idle connection to the backend, so that the attempt is sent within the policy's action.
+    EXPECT_EQ(SendRequest(*first, RequestOfNewCustomer("quote")).status(), 200) << i;
+    std::this_thread::sleep_for(std::chrono::milliseconds(15));
+    std::string head = RequestOfNewCustomer("send-lead");
+    head.insert(head.size() - 2, "Transfer-Encoding: chunked\r\n");
+    uploading->Write(head + broken_body);
+    while (uploading->ReadMore()) {
+    }
+  }
+  auto client = fixture.gateway->Connect();
+  EXPECT_EQ(SendRequest(*client, RequestOfNewCustomer("quote")).status(), 200);
+  AwaitMetric(fixture.gateway->admin_port, "attempts_in_flight", 0);
+  EXPECT_EQ(ReadMetric(fixture.gateway->admin_port, "violations.reentry"), 0);
+}
+
 // Guards against: a call to the admin endpoint whose framing never ends ended the gateway process.
 TEST(MisbehavingOperator, CallWhoseFramingNeverEndsGetsAnError) {
   Backend backend(RespondsWith(OkResponse("x")));
