Limit the customers that are known at once, and start no timer for requests that are over

Each request also left a timer for its whole time, also when it was refused at once; one for an upload lay up to 600 s ahead.

Change: at most 16,384 customers. When they are in use, those are forgotten whose buckets are full again, which start with the same tokens if they return; else a new customer's request is rejected (refused.too_many_customers), which is harmless and keeps quotas and ceilings. The timer of a request starts after the decision, if it is still open; an upload has one, not two. Below 16,384 customers nothing changes.

NewCustomersAreRejectedWhileTheTableIsFull needs the limit to compile.

--- a/src/net/reasons.h
+++ b/src/net/reasons.h
@@ -100,6 +100,7 @@
     case RejectReason::kConcurrencyCap: return "cap";
     case RejectReason::kLoadShed: return "crowded";
     case RejectReason::kNoBackend: return "no_backend";
+    case RejectReason::kTooManyCustomers: return "too_many_customers";
     case RejectReason::kAttemptsExhausted: return "failed_attempts";
     case RejectReason::kCount: break;
   }
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -86,6 +86,17 @@
       [request = call.request](policy::Balancer& balancer, double now_s, policy::Actions* actions) {
         balancer.OnRequest(now_s, request, actions);
       });
+  StartResponseTimer(id);
+}
+
+// Most refusals are immediate and need no timer. That of an upload is started again until its last byte has
+// been read, so that none lies far in the future.
+void RequestLifecycle::StartResponseTimer(uint32_t id) {
+  const InFlightRequest* request = Find(id);
+  if (request == nullptr || request->answered) return;
+  auto due_at = request->deadline;
+  if (request->uploading) due_at = std::min(due_at, ResponseDeadlineOfUpload(*request));
+  timers_.Add(due_at, TimerKind::kResponseDeadline, id);
 }
 
 void RequestLifecycle::RespondToHealthCheck(uint64_t connection, std::string_view target) {
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -75,6 +75,7 @@
   uint32_t NextId();
   void RespondToHealthCheck(uint64_t connection, std::string_view target);
 
+  void StartResponseTimer(uint32_t id);
   SendVerdict CheckAttempt(const InFlightRequest& request, int attempt, SendCheck when);
   AttemptMessage MakeAttemptMessage(uint32_t id, const InFlightRequest& request, int attempt);
   AttemptStream MakeAttemptStream(uint32_t id, const InFlightRequest& request, int attempt);
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -100,7 +100,9 @@
     quota_.ExpireIdle(now);
     if (in_flight_requests_.count(request.id) != 0) return;
     if (!IsValid(request)) return Reject(request.id, 0, RejectReason::kInvalidRequest, sink);
-    CustomerQuota& customer = quota_.FindOrCreate(request, now);
+    CustomerQuota* known = quota_.FindOrCreate(request, now);
+    if (known == nullptr) return Reject(request.id, 0, RejectReason::kTooManyCustomers, sink);
+    CustomerQuota& customer = *known;
     if (!quota_.UpdatePlan(&customer, request.plan_index, now))
       return Reject(request.id, 0, RejectReason::kInvalidRequest, sink);
     double mean_service_time_s = estimates_.MeanServiceTimeS(request.class_index);
--- a/src/policy/quota/quota_manager.cpp
+++ b/src/policy/quota/quota_manager.cpp
@@ -13,6 +13,8 @@
 constexpr double kIdleWindows = 3;
 constexpr double kMinIdleS = 10;
 constexpr double kExpiryIntervalS = kMinIdleS / 10;
+// Least time between two searches for customers that can be forgotten early.
+constexpr double kMakeRoomIntervalS = 0.1;
 // Share of queued requests taken to be inside the quota before any has been decided.
 constexpr double kInitialInsideShare = 0.7;
 // Weight of one queued request in that share of its plan, and of its customer.
@@ -84,12 +86,35 @@
   expired_s_ = now;
   std::erase_if(customers_, [&](const auto& entry) {
     const CustomerQuota& customer = entry.second;
-    return now > customer.last_seen_s + IdleTimeoutS(PlanOf(customer)) && !customer.IsCallPending() &&
-           customer.cap.local_attempts == 0;
+    return now > customer.last_seen_s + IdleTimeoutS(PlanOf(customer)) && !IsInUse(customer);
   });
 }
 
-CustomerQuota& QuotaManager::FindOrCreate(const Request& request, double now) {
+bool QuotaManager::IsInUse(const CustomerQuota& customer) const {
+  return customer.IsCallPending() || customer.cap.local_attempts > 0 || !customer.queued.empty();
+}
+
+bool QuotaManager::IsRefilled(CustomerQuota* customer, double now) {
+  Refill(customer, now);
+  const PlanSettings& plan = PlanOf(*customer);
+  return customer->bucket.tokens >= plan.burst_units &&
+         customer->bucket.ceiling_tokens >= CeilingCapacity(plan) / EntryPoints(*customer);
+}
+
+// Forgets customers that are not idle for long, but would start with the same tokens again.
+bool QuotaManager::MakeRoom(double now) {
+  if (now - made_room_s_ < kMakeRoomIntervalS) return false;
+  made_room_s_ = now;
+  for (auto entry = customers_.begin(); entry != customers_.end();) {
+    bool forgettable = !IsInUse(entry->second) && IsRefilled(&entry->second, now);
+    entry = forgettable ? customers_.erase(entry) : std::next(entry);
+  }
+  return customers_.size() < kMaxCustomers;
+}
+
+CustomerQuota* QuotaManager::FindOrCreate(const Request& request, double now) {
+  if (customers_.size() >= kMaxCustomers && customers_.count(request.customer_id) == 0 && !MakeRoom(now))
+    return nullptr;
   auto [entry, created] = customers_.try_emplace(request.customer_id);
   CustomerQuota& customer = entry->second;
   if (created) {
@@ -102,7 +127,7 @@
   }
   customer.last_seen_s = now;
   customer.total_demand_units += request.units;
-  return customer;
+  return &customer;
 }
 
 CustomerQuota* QuotaManager::Find(uint64_t customer_id) {
--- a/src/policy/quota/quota_manager.h
+++ b/src/policy/quota/quota_manager.h
@@ -35,8 +35,9 @@
   bool succeeded = false;
 };
 
-/// Owns the customers. A pointer to a CustomerQuota stays valid until ExpireIdle. The order of calls for a
-/// request: FindOrCreate, UpdatePlan, Check; then either RecordAdmission, or Enqueue and AskCounter.
+/// Owns the customers. A pointer to a CustomerQuota stays valid until ExpireIdle or FindOrCreate. The order
+/// of calls for a request: FindOrCreate, UpdatePlan, Check; then either RecordAdmission, or Enqueue and
+/// AskCounter.
 class QuotaManager {
  public:
   /// @param settings outlives this object; changes are announced by ApplySettings.
@@ -57,7 +58,8 @@
   /// Forgets customers that have been idle for long enough that their buckets are full.
   void ExpireIdle(double now);
 
-  CustomerQuota& FindOrCreate(const Request& request, double now);
+  /// @return nullptr if the customer is new and there is no room for it.
+  CustomerQuota* FindOrCreate(const Request& request, double now);
   /// @return nullptr if the customer is unknown.
   CustomerQuota* Find(uint64_t customer_id);
   /// Moves a customer whose plan has been removed from the settings to the plan that its request names.
@@ -107,6 +109,8 @@
   void ReportScheduledAttempts(double now, ActionSink* sink);
 
   static constexpr uint64_t kReportTimerTag = 1ULL << 41;
+  /// Customers that are known at once. Clients choose the names of customers, so there has to be a limit.
+  static constexpr size_t kMaxCustomers = 16384;
 
  private:
   // Calls to the counter that a query costs on average: one that adds and reads, at times one that corrects
@@ -124,6 +128,9 @@
   }
   void Refill(CustomerQuota* customer, double now) { customer->bucket.Refill(TermsOf(*customer), now); }
   double IdleTimeoutS(const PlanSettings& plan) const;
+  bool IsInUse(const CustomerQuota& customer) const;
+  bool IsRefilled(CustomerQuota* customer, double now);
+  bool MakeRoom(double now);
   double UnreportedShare() const;
   void ChargeUnits(CustomerQuota* customer, double units, double sign);
   QuotaCheck CheckConcurrency(const CustomerQuota& customer, double capacity_chance, double now);
@@ -145,6 +152,7 @@
   std::vector<uint64_t> unreported_customers_;  // of ReportScheduledAttempts, each once
   double loss_logged_s_ = -1e9;
   double expired_s_ = 0;
+  double made_room_s_ = -1e9;
 };
 
 }  // namespace lemonchute::policy
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -158,6 +158,7 @@
   kConcurrencyCap,     ///< Its customer has as many attempts in flight as its plan allows.
   kLoadShed,           ///< Capacity is reserved for requests of higher value.
   kNoBackend,          ///< No backend may take it now.
+  kTooManyCustomers,   ///< Its customer is new, and as many as can be known are in use.
   kAttemptsExhausted,  ///< Its attempts have failed and none is left.
   kCount,
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -350,6 +350,33 @@
   EXPECT_LE(admitted, 14);
 }
 
+// Guards against: clients that make up a customer for each request made the table of customers grow without
+// end.
+TEST(Quota, NewCustomersAreRejectedWhileTheTableIsFull) {
+  Settings settings = TestSettings();
+  settings.counter_enabled = false;  // no customer is kept for the sake of a call
+  BalancerHarness gateway(settings);
+  constexpr uint64_t kManyCustomers = 20000;
+  uint64_t rejected = 0;
+  EXPECT_TRUE(gateway.ServeRequest(1, /*customer_id=*/0));
+  for (uint64_t customer = 1; customer < kManyCustomers; ++customer) {
+    gateway.SubmitRequest(10, 0, 1.0, customer);
+    const Action* reject = gateway.FindAction(ActionKind::kReject);
+    if (reject != nullptr && reject->reason == RejectReason::kTooManyCustomers) ++rejected;
+    const Action* send = gateway.FindAction(ActionKind::kSendAttempt);
+    if (send != nullptr) gateway.EndAttempt(send->request_id, send->backend_id, AttemptResult::kOk);
+  }
+  EXPECT_GT(rejected, 0u);
+  EXPECT_LE(rejected, kManyCustomers - 16384);
+  EXPECT_TRUE(gateway.ServeRequest(1, /*customer_id=*/0)) << "a known customer is served";
+  // Its bucket is full again after 5 s, so that it can be forgotten without a loss.
+  gateway.now += 6;
+  EXPECT_TRUE(gateway.ServeRequest(1, kManyCustomers));
+  // One that used its bucket's tokens just now is remembered.
+  EXPECT_TRUE(gateway.ServeRequest(9, /*customer_id=*/0));
+  EXPECT_FALSE(gateway.ServeRequest(9, /*customer_id=*/0));
+}
+
 TEST(Counter, NewCustomerGetsAnEvenPartAndIsReadAtOnce) {
   BalancerHarness harness(TestSettings());
   int admitted = 0;
