Count on the deadlines of the latest configuration when the process ends

Cause: LongestDeadlineS took in classes that a reload had removed and that requests were using at that time; they keep their index. A changed class is a removed and a new one.

Change: removed classes don't count. Closing.EndAfterSigtermFollowsTheDeadlinesOfTheLatestConfiguration before: "actual: 2480809449ns vs 1200ms"; now it ends in time.

--- a/src/net/lifecycle.cpp
+++ b/src/net/lifecycle.cpp
@@ -26,8 +26,9 @@
 
 double LongestDeadlineS(const policy::Settings& settings) {
   double longest_s = 0;
-  for (const auto& request_class : settings.classes)
-    longest_s = std::max(longest_s, request_class.deadline_s);
+  for (const auto& request_class : settings.classes) {
+    if (!request_class.removed) longest_s = std::max(longest_s, request_class.deadline_s);
+  }
   return longest_s;
 }
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -276,6 +276,38 @@
       << "must end long before the deadlines of the requests";
 }
 
+// Guards against: after a reload that shortened the deadlines the process counted on the longest old one, so
+// that SIGKILL found it with requests that had no answer.
+TEST(Closing, EndAfterSigtermFollowsTheDeadlinesOfTheLatestConfiguration) {
+  Event held, release;
+  Backend backend([&](const Message&, Connection&) {
+    held.Notify();
+    EXPECT_TRUE(release.Wait());
+    return OkResponse("x");
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                         kAdminEnvironment);
+  json config = ConfigWith({{"/request-classes/0/hard-limit-s", 0.5},
+                            {"/request-classes/1/hard-limit-s", 0.5},
+                            {"/request-classes/2/hard-limit-s", 0.5}});
+  config["discovery"] = "127.0.0.1:" + std::to_string(fixture.discovery.port());
+  config["counter"] = "127.0.0.1:" + std::to_string(fixture.counter.port());
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote"));  // keeps its class in use
+  ASSERT_TRUE(held.Wait());
+  fixture.gateway->Reconfigure(config);
+  AwaitMetric(fixture.gateway->admin_port, "config_applied", 1);
+  release.Notify();
+  EXPECT_EQ(client->Read().status(), 200);
+  std::string request = Request("quote");
+  client->Write(request.substr(0, request.size() / 2));  // keeps the connection open
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  fixture.gateway->Signal(SIGTERM);
+  auto signalled_at = Clock::now();
+  EXPECT_EQ(fixture.gateway->WaitForExit(), 0);
+  EXPECT_LT(Clock::now() - signalled_at, std::chrono::milliseconds(500 + 700)) << "SIGKILL follows then";
+}
+
 // Bytes that arrive while an earlier request is removed from the buffer must stay intact.
 TEST(Reading, RequestAfterAPipelinedOneIsForwardedIntact) {
   Event release;
