Run a non-idempotent request once, also if its client leaves and sends it again

With the attempt cancelled, or ended with the process, a second request of that id was a new one.

A repeat gets 409, which promises nothing; one that surely has not run is forgotten and served. Metric repeats_refused. While bytes of a client are left unread for want of memory, the requests before them are refused, since its close may lie behind.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -244,12 +244,16 @@
   if (!IsClientConnected()) return Close(CloseReason::kClientEnded);
   if (!WaitsForMemory()) return Read();
   if (state_ != State::kReading || Clock::now() < *paused_at_ + kMaxMemoryWait) return PauseReading();
-  ++server_->memory_refusals_;
   LeaveIdleOrder();
   if (read_timer_running_) timer_.Cancel();
+  RefuseForMemory(false);
+}
+
+void ClientConnection::RefuseForMemory(bool keep_alive) {
+  ++server_->memory_refusals_;
   ClientResponse response;
   response.status = 503;
-  Write(response, false);
+  Write(response, keep_alive);
 }
 
 void ClientConnection::Discard(size_t size) {
@@ -339,6 +343,8 @@
     ScheduleUploadCheck();
   }
   if (buffer_.size() == 0) buffer_.shrink_to_fit();
+  // The client may have left behind the bytes that are not read for want of memory.
+  if (paused_at_ && !upload) return RefuseForMemory(keep_alive_ && !server_->close_after_response_);
   ClientMessage message{std::move(parser_->get().base())};
   message.body() = std::exchange(body_, std::string());
   server_->on_request_(id_, std::move(message), upload);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -96,6 +96,7 @@
   bool CanRead() const;
   bool WaitsForMemory() const;
   void PauseReading();
+  void RefuseForMemory(bool keep_alive);
   size_t MaxReadBytes() const;
   size_t MaxPieceBytes() const;
   void Read();
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -39,7 +39,8 @@
       timers_(
           io, [this](TimerKind kind, uint64_t tag) { OnTimer(kind, tag); },
           [this] { lifecycle_.CheckShutdown(); }),
-      requests_({io, config_, process_, server_, pool_, policy_, timers_, metrics_,
+      recent_requests_(config.state_folder),
+      requests_({io, config_, process_, server_, pool_, policy_, timers_, metrics_, recent_requests_,
                  [this] { lifecycle_.CheckShutdown(); }}),
       lifecycle_({io, config_, process_, server_, pool_, memory_, policy_, requests_, offline_backends_,
                   *config_manager, members_, metrics_}),
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -23,6 +23,7 @@
 #include "net/offline_backends.h"
 #include "net/policy_dispatcher.h"
 #include "net/process_state.h"
+#include "net/recent_requests.h"
 #include "net/reconfiguration.h"
 #include "net/request_lifecycle.h"
 #include "net/timer_queue.h"
@@ -78,6 +79,7 @@
   OfflineBackends offline_backends_;
   ProcessState process_;
   TimerQueue timers_;
+  RecentRequests recent_requests_;
   RequestLifecycle requests_;
   Lifecycle lifecycle_;
   Reconfiguration reconfiguration_;
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -43,6 +43,7 @@
     auto invariant = static_cast<Invariant>(i);
     write(std::string("violations.") + Name(invariant), metrics.invariants.violations(invariant));
   }
+  write("repeats_refused", metrics.repeats_refused);
   write("clock_steps", metrics.clock_steps);
   write("tries", metrics.requests_written);
 }
--- a/src/net/metrics.h
+++ b/src/net/metrics.h
@@ -26,8 +26,9 @@
   using ClassCountsByName = std::map<std::string, ClassCounts>;
 
   ClassCountsByName classes;
-  uint64_t requests_written = 0;                                              // requests written completely
-  uint64_t clock_steps = 0;                                                   // steps of the wall clock
+  uint64_t requests_written = 0;  // requests written completely
+  uint64_t repeats_refused = 0;   // non-idempotent requests that arrived again
+  uint64_t clock_steps = 0;       // steps of the wall clock
   CountsBy<policy::AttemptResult, policy::AttemptResult::kNotSent> attempts;  // by their result
   CountsBy<policy::AttemptResult, policy::AttemptResult::kNotSent> retried;   // by the previous result
   CountsBy<AttemptEndCause, AttemptEndCause::kCount> ended;                   // attempts by their cause
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr int kStatusOk = 200, kStatusNotFound = 404, kStatusTooManyRequests = 429, kStatusBadGateway = 502,
-              kStatusUnavailable = 503, kStatusGatewayTimeout = 504;
+constexpr int kStatusOk = 200, kStatusNotFound = 404, kStatusConflict = 409, kStatusTooManyRequests = 429,
+              kStatusBadGateway = 502, kStatusUnavailable = 503, kStatusGatewayTimeout = 504;
 // A response that is decided later than this after the client's deadline is an invariant violation.
 constexpr double kResponseGraceS = 0.5;
 constexpr size_t kTimeoutHeaderBytes = 48;
@@ -35,6 +35,7 @@
       policy_(parts.policy),
       timers_(parts.timers),
       metrics_(parts.metrics),
+      recent_requests_(parts.recent_requests),
       on_attempt_end_(std::move(parts.on_attempt_end)) {}
 
 InFlightRequest* RequestLifecycle::Find(uint32_t id) {
@@ -53,6 +54,7 @@
   std::string_view target = OriginForm(ToStringView(message.target()));
   if (target.substr(0, 3) == "/-/") return RespondToHealthCheck(connection, target);
   ClientCall call = ParseCall(message, *config_);
+  if (call.status == 0 && IsRepeat(message, call)) call.status = kStatusConflict;
   if (call.status != 0) {
     ClientResponse response;
     response.status = call.status;
@@ -69,6 +71,8 @@
   request.config = config_;
   request.class_name = config_->socket_settings.classes[class_index];
   request.idempotency = config_->settings.classes[class_index].idempotency;
+  if (request.idempotency == Idempotency::kNonIdempotent)
+    recent_requests_.Add(request.request_id, Clock::now());
   request.timeout_s = call.timeout_s;
   request.margin_s = limits.margin_s;
   // The policy has to decide one margin before the client's timeout. Half a margin before the timeout the
@@ -99,6 +103,15 @@
   timers_.Add(due_at, TimerKind::kResponseDeadline, id);
 }
 
+// Whether the request may have run already, for a client that has left since, and must not run again.
+bool RequestLifecycle::IsRepeat(const ClientMessage& message, const ClientCall& call) {
+  const auto& settings = config_->settings.classes[static_cast<size_t>(call.request.class_index)];
+  if (settings.idempotency != Idempotency::kNonIdempotent) return false;
+  if (!recent_requests_.Contains(ToStringView(message["Request-Id"]), Clock::now())) return false;
+  ++metrics_.repeats_refused;
+  return true;
+}
+
 void RequestLifecycle::RespondToHealthCheck(uint64_t connection, std::string_view target) {
   int ready_status = process_.IsReady() ? kStatusOk : kStatusUnavailable;
   ClientResponse response;
@@ -381,7 +394,10 @@
 void RequestLifecycle::EraseIfFinished(uint32_t id) {
   const InFlightRequest* request = Find(id);
   if (request == nullptr || reporting_id_ == id) return;
-  if (request->answered && !request->HasAttemptInFlight()) in_flight_.erase(id);
+  if (!request->answered || request->HasAttemptInFlight()) return;
+  if (request->idempotency == Idempotency::kNonIdempotent && !request->may_have_run)
+    recent_requests_.Remove(request->request_id);
+  in_flight_.erase(id);
 }
 
 void RequestLifecycle::OnResponseDeadline(uint32_t id) {
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -18,6 +18,7 @@
 #include "net/metrics.h"
 #include "net/policy_dispatcher.h"
 #include "net/process_state.h"
+#include "net/recent_requests.h"
 #include "net/request_log.h"
 #include "net/timer_queue.h"
 
@@ -40,6 +41,7 @@
     PolicyDispatcher& policy;
     TimerQueue& timers;
     Metrics& metrics;
+    RecentRequests& recent_requests;
     std::function<void()> on_attempt_end;  // called after the end of an attempt was reported
   };
 
@@ -76,6 +78,7 @@
   void RespondToHealthCheck(uint64_t connection, std::string_view target);
 
   void StartResponseTimer(uint32_t id);
+  bool IsRepeat(const ClientMessage& message, const ClientCall& call);
   SendVerdict CheckAttempt(const InFlightRequest& request, int attempt, SendCheck when);
   AttemptMessage MakeAttemptMessage(uint32_t id, const InFlightRequest& request, int attempt);
   AttemptStream MakeAttemptStream(uint32_t id, const InFlightRequest& request, int attempt);
@@ -107,6 +110,7 @@
   PolicyDispatcher& policy_;
   TimerQueue& timers_;
   Metrics& metrics_;
+  RecentRequests& recent_requests_;
   const std::function<void()> on_attempt_end_;
   const RequestLog log_;
   std::unordered_map<uint32_t, InFlightRequest> in_flight_;  // by id
--- a/src/net/response_text.cpp
+++ b/src/net/response_text.cpp
@@ -13,6 +13,7 @@
     case 400: return "Bad Request";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
+    case 409: return "Conflict";
     case 413: return "Payload Too Large";
     case 429: return "Too Many Requests";
     case 431: return "Request Header Fields Too Large";
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -276,6 +276,118 @@
       << "must end long before the deadlines of the requests";
 }
 
+// Guards against: a request that must not run twice was run again when its client left and sent it once more.
+TEST(Repeat, NonIdempotentRequestThatMayHaveRunIsNotRunAgain) {
+  Event held, release;
+  Backend backend([&](const Message&, Connection&) {
+    held.Notify();
+    EXPECT_TRUE(release.Wait());
+    return OkResponse("x");
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), {}, LEMONCHUTE_GATEWAY, 0,
+                         kAdminEnvironment);
+  const std::string request = Request("send-lead"), other = Request("send-lead");
+  auto leaving = fixture.gateway->Connect(), client = fixture.gateway->Connect();
+  leaving->Write(request);
+  ASSERT_TRUE(held.Wait());
+  EXPECT_EQ(SendRequest(*client, request).status(), 409) << "it is in flight";
+  leaving->Close();
+  AwaitMetric(fixture.gateway->admin_port, "active", 0);
+  release.Notify();
+  EXPECT_EQ(SendRequest(*client, request).status(), 409) << "it may have run";
+  EXPECT_EQ(SendRequest(*client, other).status(), 200);
+  EXPECT_EQ(SendRequest(*client, other).status(), 409) << "it was served";
+  EXPECT_EQ(backend.requests.count(), 2);
+  AwaitMetric(fixture.gateway->admin_port, "repeats_refused", 3);
+}
+
+// Guards against: the same at the other process of an upgrade.
+TEST(Repeat, NonIdempotentRequestIsNotRunAgainByTheOtherProcessOfAnUpgrade) {
+  UpgradeFixture upgrade;
+  auto old_process = upgrade.Start();
+  UpgradeFixture::AwaitReady(*old_process);
+  const std::string request = Request("send-lead", 1, 2000, "", "wait");
+  auto leaving = old_process->Connect();
+  leaving->Write(request);
+  ASSERT_TRUE(upgrade.request_held.Wait());
+  auto new_process = upgrade.Start();
+  UpgradeFixture::AwaitReady(*new_process);
+  old_process->Signal(SIGTERM);
+  leaving->Close();
+  upgrade.release.Notify();
+  EXPECT_EQ(old_process->WaitForExit(), 0);
+  auto client = new_process->Connect();
+  EXPECT_EQ(SendRequest(*client, request).status(), 409);
+  EXPECT_EQ(upgrade.request_held.count(), 1);
+}
+
+// One that surely has not run may come again.
+TEST(Repeat, NonIdempotentRequestThatHasNotRunIsServed) {
+  std::atomic<int> requests{0};
+  Backend backend([&](const Message&, Connection&) {
+    return ++requests == 1 ? "HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+                           : OkResponse("x");
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}),
+                         ConfigWith({{"/limits/try-limit", 1}}));
+  auto client = fixture.gateway->Connect();
+  const std::string request = Request("send-lead");
+  EXPECT_EQ(SendRequest(*client, request).status(), 503);
+  int status = 503;
+  for (int i = 0; i < 100 && status == 503; ++i) {  // while the backend recovers
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    status = SendRequest(*client, request).status();
+  }
+  EXPECT_EQ(status, 200);
+}
+
+// Guards against: while memory was short, bytes that a client had left unread hid its close, and the requests
+// before them were sent on.
+TEST(Closing, RequestsBeforeUnreadBytesAreNotSentOnAfterTheClose) {
+  constexpr auto kLatest = std::chrono::milliseconds(150);  // 0.1 s after the close, and 50 ms
+  constexpr int kOtherClients = 16;
+  std::mutex mutex;
+  std::vector<Clock::time_point> begun_at;
+  Backend backend([&](const Message&, Connection&) {
+    {
+      std::lock_guard lock(mutex);
+      begun_at.push_back(Clock::now());
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    return OkResponse("x");
+  });
+  json config = DefaultConfig(0, 0);
+  config["limits"]["memory_mb"] = 1;
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), config);
+  std::vector<std::unique_ptr<Connection>> others;  // take their share of the buffers
+  for (int i = 0; i < kOtherClients; ++i) others.push_back(fixture.gateway->Connect());
+  EXPECT_EQ(SendRequest(*others.back(), kReadinessRequest).status(), 200);
+  std::string requests;
+  while (requests.size() < (size_t{64} << 20)) requests += RequestOfNewCustomer("quote");
+  sockaddr_in address;
+  int fd = MakeLoopbackSocket(&address, fixture.gateway->port);
+  ASSERT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  size_t written = 0;
+  for (int blocked = 0; blocked < 50;) {  // until the gateway has not read for a while
+    ssize_t n = send(fd, requests.data() + written, requests.size() - written, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n > 0) written += static_cast<size_t>(n);
+    blocked = n > 0 ? 0 : blocked + 1;
+    if (n <= 0) std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    if (written == requests.size() || (n < 0 && errno != EAGAIN)) break;
+  }
+  char read[4096];  // a close with unread bytes would reset the connection
+  while (recv(fd, read, sizeof(read), MSG_DONTWAIT) > 0) {
+  }
+  close(fd);
+  auto closed_at = Clock::now();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  std::lock_guard lock(mutex);
+  EXPECT_GT(begun_at.size(), 0u);
+  auto late = std::count_if(begun_at.begin(), begun_at.end(),
+                            [&](Clock::time_point begun) { return begun > closed_at + kLatest; });
+  EXPECT_EQ(late, 0) << "of " << begun_at.size() << " after " << written << " bytes";
+}
+
 // Guards against: after a reload that shortened the deadlines the process counted on the longest old one, so
 // that SIGKILL found it with requests that had no answer.
 TEST(Closing, EndAfterSigtermFollowsTheDeadlinesOfTheLatestConfiguration) {
