Let long responses go on after SIGTERM until the kill

Cause: the process ended by itself at the longest deadline and 0.6 s, and cut off streams 0.1 s before that. What SIGKILL finds of requests that came early is not lost; what a process that ends by itself leaves unanswered is.

Change: 0.5 s after the longest deadline all requests whose response has not begun are answered, as before. If streamed responses are left at the time of the end, the process goes on until they are complete, or 30 s.

--- a/src/net/lifecycle.cpp
+++ b/src/net/lifecycle.cpp
@@ -23,6 +23,8 @@
 constexpr double kShutdownMarginS = 0.6;
 // How long before the end of the process the last responses are sent, so that clients can read them.
 constexpr double kFinalResponseLeadS = 0.1;
+// If SIGKILL does not come, streamed responses may go on for this long.
+constexpr double kMaxStreamDrainS = 30;
 
 double LongestDeadlineS(const policy::Settings& settings) {
   double longest_s = 0;
@@ -155,14 +157,23 @@
   shutdown_timer_.expires_at(*process_.final_response_at);
   shutdown_timer_.async_wait([this, end_at](error_code cancelled) {
     if (cancelled) return;
-    requests_.FailAllInFlight();
+    requests_.FailAllUnstarted();
     shutdown_timer_.expires_at(end_at);
     shutdown_timer_.async_wait([this](error_code stopped) {
-      if (!stopped) io_.stop();
+      if (!stopped) EndOnceStreamsAreComplete();
     });
   });
 }
 
+// Only streamed responses are unanswered now. A process that ended by itself would cut them off.
+void Lifecycle::EndOnceStreamsAreComplete() {
+  if (requests_.unanswered() == 0) return io_.stop();
+  shutdown_timer_.expires_after(Seconds(kMaxStreamDrainS));
+  shutdown_timer_.async_wait([this](error_code stopped) {
+    if (!stopped) io_.stop();
+  });
+}
+
 // Posted, since the connection counts as open until its end has been processed.
 void Lifecycle::OnClientClosed() {
   if (process_.IsShuttingDown()) asio::post(io_, [this] { CheckShutdown(); });
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -462,18 +462,12 @@
   return count;
 }
 
-void RequestLifecycle::FailAllInFlight() {
-  std::vector<uint32_t> unanswered;
-  for (const auto& [connection, id] : unanswered_by_connection_) unanswered.push_back(id);
-  for (uint32_t id : unanswered) {
-    std::optional<int> streaming_attempt = in_flight_.at(id).streaming_attempt;
-    if (!streaming_attempt) {
-      FailWithTimeout(id);
-      continue;
-    }
-    Fail(id);
-    CancelAttempt(id, *streaming_attempt, 0);
+void RequestLifecycle::FailAllUnstarted() {
+  std::vector<uint32_t> unstarted;
+  for (const auto& [connection, id] : unanswered_by_connection_) {
+    if (!in_flight_.at(id).streaming_attempt) unstarted.push_back(id);
   }
+  for (uint32_t id : unstarted) FailWithTimeout(id);
 }
 
 }  // namespace lemonchute::net
--- a/src/net/request_lifecycle.h
+++ b/src/net/request_lifecycle.h
@@ -60,9 +60,8 @@
 
   /// Responds to a request that the policy has not decided on shortly before its client gives up.
   void OnResponseDeadline(uint32_t id);
-  /// Fails all requests that have no response yet. A streamed response that has begun is cut off, which its
-  /// client can detect.
-  void FailAllInFlight();
+  /// Fails all requests whose response has not begun.
+  void FailAllUnstarted();
 
   /// @return the number of attempts whose end was not reported yet
   size_t CountAttemptsInFlight() const;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -388,6 +388,32 @@
   EXPECT_EQ(late, 0) << "of " << begun_at.size() << " after " << written << " bytes";
 }
 
+// Guards against: the process ended by itself, 0.1 s before SIGKILL may come, and cut off a long response
+// that was still coming.
+TEST(Closing, LongResponseIsCompletedIfTheKillDoesNotCome) {
+  constexpr size_t kLumpBytes = 50000;
+  const std::string body = NumberedText(3 * kLumpBytes);
+  Backend backend([&](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (size_t offset = 0; offset < body.size(); offset += kLumpBytes) {
+      connection.Write(ChunkedBody(body.substr(offset, kLumpBytes), kLumpBytes));
+      std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    }
+    connection.Write("0\r\n\r\n");
+    return std::string();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}),
+                         ConfigWith({{"/request-classes/0/hard-limit-s", 0.5},
+                                     {"/request-classes/1/hard-limit-s", 0.5},
+                                     {"/request-classes/2/hard-limit-s", 0.5}}));
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote"));
+  EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+  fixture.gateway->Signal(SIGTERM);
+  EXPECT_TRUE(ReadChunkedBody(*client) == body);
+  EXPECT_EQ(fixture.gateway->WaitForExit(), 0);
+}
+
 // Guards against: after a reload that shortened the deadlines the process counted on the longest old one, so
 // that SIGKILL found it with requests that had no answer.
 TEST(Closing, EndAfterSigtermFollowsTheDeadlinesOfTheLatestConfiguration) {
