--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -193,7 +193,7 @@
 }
 
 void ClientConnection::RefuseForMemory(bool keep_alive) {
-  ++server_->memory_refusals_;
+  server_->CountMemoryRefusal();
   ClientResponse response;
   response.status = 503;
   Write(response, keep_alive);
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -1,6 +1,7 @@
 #include "net/client_server.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,7 @@
 constexpr size_t kEvictionDivisor = 8;
 // How often a connection that is not read from for want of memory is looked at again.
 constexpr auto kResumeInterval = std::chrono::milliseconds(20);
+constexpr auto kRefusalLogInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -119,6 +121,17 @@
   if (paused_.size() == 1) resume_timer_.Start(kResumeInterval, [this] { ResumeReading(); });
 }
 
+void ClientServer::CountMemoryRefusal() {
+  ++memory_refusals_;
+  auto now = Clock::now();
+  if (now < memory_refusal_logged_at_ + kRefusalLogInterval) return;
+  memory_refusal_logged_at_ = now;
+  std::fprintf(stderr,
+               "memory is short, requests are refused: %llu so far, heap %zu of %zu bytes, %zu clients\n",
+               static_cast<unsigned long long>(memory_refusals_), HeapBytesInUse(), memory_.limit_bytes(),
+               connections_.size());
+}
+
 void ClientServer::ResumeReading() {
   for (uint64_t id : std::exchange(paused_, {})) {
     if (auto connection = Find(id)) connection->ResumeReading();
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -95,6 +95,8 @@
   // Reads from the connection later, when memory may be free.
   void PauseReading(uint64_t id);
   void ResumeReading();
+  // Counts a request that is refused for want of memory, and logs it at times.
+  void CountMemoryRefusal();
 
   asio::io_context& io_;
   Listener listener_;
@@ -103,6 +105,7 @@
   OnClosed on_closed_;
   MemoryBudget& memory_;
   uint64_t memory_refusals_ = 0;
+  Clock::time_point memory_refusal_logged_at_{};
   std::vector<uint64_t> paused_;  // connections that are not read from for want of memory
   OneShotTimer resume_timer_;
   uint64_t last_id_ = 0;
