Correct two comments of the client's connection and drop what the split left unused

From a last reading of the change: the comment on pipelined bytes said that less is buffered if memory is short, where reading now pauses; another told of a buffer that is no longer prepared before a read. An include and an empty initializer were left.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -3,7 +3,6 @@
 #include <poll.h>
 
 #include <algorithm>
-#include <cstdio>
 #include <span>
 #include <utility>
 
@@ -13,9 +12,9 @@
 namespace lemonchute::net {
 namespace {
 
-// Upper bound of the buffered bytes that a client pipelines behind a request: one complete further request,
-// less if memory is short. Bytes beyond it are read and discarded, because otherwise a close by the client
-// behind them would go unnoticed. The next response then ends the connection.
+// Upper bound of the buffered bytes that a client pipelines behind a request: one complete further request.
+// Bytes beyond it are read and discarded, because otherwise a close by the client behind them would go
+// unnoticed. The next response then ends the connection. If memory is short, reading pauses earlier.
 constexpr size_t kMaxPipelinedBytes = kMaxHeader + kMaxBody;
 constexpr size_t kMaxLingerBytes = kMaxStreamedBytes;  // read and discarded, per connection
 
@@ -32,7 +31,7 @@
 }  // namespace
 
 ClientConnection::ClientConnection(ClientServer* server, uint64_t id, tcp::socket socket)
-    : server_(server), id_(id), socket_(std::move(socket)), timer_(server->io_), buffer_() {}
+    : server_(server), id_(id), socket_(std::move(socket)), timer_(server->io_) {}
 
 void ClientConnection::Start() {
   AwaitRequest();
@@ -139,8 +138,7 @@
   return !IsBufferFull() || (!streaming_request_ && discarded_bytes_ < kMaxLingerBytes);
 }
 
-// Prepares the buffer only when bytes have arrived: while waiting, bytes may be consumed from the buffer,
-// which moves the position that a read started earlier would write to.
+// Takes memory for the bytes only once they have arrived.
 void ClientConnection::Read() {
   if (reading_ || state_ == State::kClosed) return;
   if (!CanRead()) {
