Trace what a response's backend had given, log what a slow reader has taken

With the code as found neither the trace nor the log tells a peer that stops from one that goes on: `cause=response_deadline` and `closed.slow_reader` are the same for both.

The trace's line `ended` has the bytes of the response's body that arrived and the time since the latest of them. Where a client is closed as a slow reader, the log says what its system has acknowledged while it was watched and what still waits in the send buffer (TCP_INFO, SIOCOUTQ).

--- a/src/net/attempt.h
+++ b/src/net/attempt.h
@@ -29,6 +29,8 @@
   /// The part of `duration_s` that was not spent at the backend: until the last byte of a streamed request,
   /// or until a connect could be issued.
   double upload_s = 0;
+  size_t body_bytes = 0;    ///< Of the response, as far as they were received.
+  double silent_s = 0;      ///< Time since the latest of them; 0 if there were none.
   double actual_units = 0;  ///< Cost reported by the backend; 0 if none was.
   std::string headers;      ///< End-to-end header lines of a 200 response.
   std::string body;
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -68,7 +68,7 @@
   done_ = std::move(done);
   stream_ = std::move(stream);
   streaming_response_ = awaiting_consumer_ = awaiting_upload_ = false;
-  delivered_bytes_ = 0;
+  received_bytes_ = delivered_bytes_ = 0;
   upload_s_ = connect_wait_s_ = 0;
   streamed_request_ = stream_.request_more != nullptr;
   body_.clear();
@@ -319,6 +319,8 @@
   busy_ = false;
   end.upload_s = std::max(upload_s_, connect_wait_s_);
   end.duration_s = ElapsedSeconds(started_at_, Clock::now());
+  end.body_bytes = received_bytes_;
+  if (received_bytes_ > 0) end.silent_s = ElapsedSeconds(last_received_at_, Clock::now());
   pool_->in_flight_.erase(attempt_);
   // The connection is released before the outcome is reported, so that a retry doesn't open a second one.
   if (keep_alive && pool_->KeepIdle(backend_, address_, shared_from_this())) {
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -83,6 +83,7 @@
   void ContinueReading();
   void Parse();
   error_code Decode();
+  void CountReceived(size_t size);
   bool ShouldStream() const;
   bool BeginStream();
   void DeliverPiece();
@@ -139,6 +140,8 @@
   bool streaming_response_ = false;          // delivered piece by piece; has begun
   bool awaiting_consumer_ = false;           // a piece was delivered and not yet consumed
   bool delivering_ = false;                  // within the call that delivers a piece
+  size_t received_bytes_ = 0;                // of the decoded body
+  Clock::time_point last_received_at_;       // when the latest of them arrived
   size_t delivered_bytes_ = 0;
   Clock::time_point response_due_at_;          // while HasResponseDeadline()
   std::optional<size_t> delivered_when_late_;  // at the latest check after the request's deadline
--- a/src/net/backend_connection_responses.cpp
+++ b/src/net/backend_connection_responses.cpp
@@ -49,8 +49,16 @@
   if (!closed_ && !reading_ && !awaiting_consumer_) Read();
 }
 
+void BackendConnection::CountReceived(size_t size) {
+  if (size == 0) return;
+  received_bytes_ += size;
+  last_received_at_ = Clock::now();
+}
+
 void BackendConnection::Parse() {
+  size_t undelivered_bytes = body_.size();
   error_code error = Decode();
+  CountReceived(body_.size() - undelivered_bytes);
   // Malformed, or over a size limit.
   if (error)
     return Finish(written_ ? AttemptResult::kReset : AttemptResult::kConnectFailed,
--- a/src/net/client_connection_responses.cpp
+++ b/src/net/client_connection_responses.cpp
@@ -4,6 +4,7 @@
 
 #include "net/client_connection.h"
 #include "net/client_server.h"
+#include "net/send_progress.h"
 
 namespace lemonchute::net {
 namespace {
@@ -123,8 +124,11 @@
 // Closes the connection of a client that does not read its response.
 void ClientConnection::StartWriteTimer() {
   if (state_ != State::kWriting && state_ != State::kStreaming) return;
-  timer_.Start(kWriteTimeout, [self = shared_from_this(), this] {
-    if (state_ == State::kWriting || state_ == State::kStreaming) Close(CloseReason::kSlowReader);
+  uint64_t acknowledged_bytes = ReadSendProgress(socket_.native_handle()).acknowledged_bytes;
+  timer_.Start(kWriteTimeout, [self = shared_from_this(), this, acknowledged_bytes] {
+    if (state_ != State::kWriting && state_ != State::kStreaming) return;
+    server_->LogSlowReader(id_, ReadSendProgress(socket_.native_handle()), acknowledged_bytes);
+    Close(CloseReason::kSlowReader);
   });
 }
 
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -12,7 +12,15 @@
 constexpr size_t kEvictionDivisor = 8;
 // How often a connection that is not read from for want of memory is looked at again.
 constexpr auto kResumeInterval = std::chrono::milliseconds(20);
-constexpr auto kRefusalLogInterval = std::chrono::seconds(5);
+constexpr auto kLogInterval = std::chrono::seconds(5);  // for each kind of line
+
+// Whether a line may be logged that was logged last at `*logged_at`, which is then updated.
+bool TakeLogLine(Clock::time_point* logged_at) {
+  auto now = Clock::now();
+  if (now < *logged_at + kLogInterval) return false;
+  *logged_at = now;
+  return true;
+}
 
 }  // namespace
 
@@ -123,15 +131,21 @@
 
 void ClientServer::CountMemoryRefusal() {
   ++memory_refusals_;
-  auto now = Clock::now();
-  if (now < memory_refusal_logged_at_ + kRefusalLogInterval) return;
-  memory_refusal_logged_at_ = now;
+  if (!TakeLogLine(&memory_refusal_logged_at_)) return;
   std::fprintf(stderr,
                "memory is short, requests are refused: %llu so far, heap %zu of %zu bytes, %zu clients\n",
                static_cast<unsigned long long>(memory_refusals_), HeapBytesInUse(), memory_.limit_bytes(),
                connections_.size());
 }
 
+void ClientServer::LogSlowReader(uint64_t id, const SendProgress& progress, uint64_t acknowledged_before) {
+  if (!TakeLogLine(&slow_reader_logged_at_)) return;
+  std::fprintf(stderr, "connection=%llu closed, its client is slow: took %llu bytes lately, %llu wait\n",
+               static_cast<unsigned long long>(id),
+               static_cast<unsigned long long>(progress.acknowledged_bytes - acknowledged_before),
+               static_cast<unsigned long long>(progress.waiting_bytes));
+}
+
 void ClientServer::ResumeReading() {
   for (uint64_t id : std::exchange(paused_, {})) {
     if (auto connection = Find(id)) connection->ResumeReading();
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -19,6 +19,7 @@
 #include "net/memory_budget.h"
 #include "net/one_shot_timer.h"
 #include "net/reasons.h"
+#include "net/send_progress.h"
 
 namespace lemonchute::net {
 
@@ -97,6 +98,9 @@
   void ResumeReading();
   // Counts a request that is refused for want of memory, and logs it at times.
   void CountMemoryRefusal();
+  // Logs at times that a connection is closed because its client takes too little of a response.
+  // @param acknowledged_before bytes that the client had taken when it began to be watched
+  void LogSlowReader(uint64_t id, const SendProgress& progress, uint64_t acknowledged_before);
 
   asio::io_context& io_;
   Listener listener_;
@@ -105,7 +109,7 @@
   OnClosed on_closed_;
   MemoryBudget& memory_;
   uint64_t memory_refusals_ = 0;
-  Clock::time_point memory_refusal_logged_at_{};
+  Clock::time_point memory_refusal_logged_at_{}, slow_reader_logged_at_{};
   std::vector<uint64_t> paused_;  // connections that are not read from for want of memory
   OneShotTimer resume_timer_;
   uint64_t last_id_ = 0;
--- a/src/net/request_lifecycle.cpp
+++ b/src/net/request_lifecycle.cpp
@@ -248,8 +248,9 @@
   ended.result = end.result;
   metrics_.attempts.Add(end.result);
   metrics_.ended.Add(end.cause);
-  log_.Log(request->request_id, "ended", "attempt=%d backend=%u result=%s cause=%s took_s=%.4f", attempt,
-           backend, Name(end.result), Name(end.cause), end.duration_s);
+  log_.Log(request->request_id, "ended",
+           "attempt=%d backend=%u result=%s cause=%s took_s=%.4f body_bytes=%zu silent_s=%.4f", attempt,
+           backend, Name(end.result), Name(end.cause), end.duration_s, end.body_bytes, end.silent_s);
   reporting_id_ = id;
   if (policy::MayHaveRun(end.result)) request->may_have_run = true;
   // The first good response is sent to the client before the outcome is reported to the policy, because the
--- /dev/null
+++ b/src/net/send_progress.h
@@ -0,0 +1,24 @@
+// What the peer of a TCP connection has taken of the bytes that were sent to it.
+#ifndef LEMONCHUTE_NET_SEND_PROGRESS_H_
+#define LEMONCHUTE_NET_SEND_PROGRESS_H_
+
+#include <cstdint>
+
+namespace lemonchute::net {
+
+/// A snapshot of the sending direction of a TCP socket, as the kernel sees it. A socket that accepts no
+/// further bytes says nothing about the peer: it becomes writable only once a third of its send buffer, which
+/// grows to megabytes, is free.
+struct SendProgress {
+  uint64_t acknowledged_bytes = 0;  ///< Taken by the peer's system since the connection was opened.
+  uint64_t waiting_bytes = 0;       ///< In the send buffer: not acknowledged, whether sent or not.
+  uint64_t peer_window_bytes = 0;   ///< Space that the peer announced last.
+};
+
+/// @param socket descriptor of a connected TCP socket
+/// @return zeros if the kernel can't tell
+SendProgress ReadSendProgress(int socket);
+
+}  // namespace lemonchute::net
+
+#endif  // LEMONCHUTE_NET_SEND_PROGRESS_H_
