Judge a late response of unknown length by its rate, not by a pause of 0.25 s

Cause: BackendConnection::ExtendResponseDeadline wanted 4 KiB in each 0.25 s after the deadline. No byte in one fixed span stood for a backend that has stopped, whatever it had given before.

Evidence: 'ended result=reset cause=response_deadline took_s=1.7401 body_bytes=40000 silent_s=0.3993': the backend was in its pause.

A late response goes on while it is covered, and 0.15 s; with nothing since its deadline for half a second at the most. Waiting for a slow client counts against no response, also against a small one of known length that is streamed for want of memory.

Why it works: a peer that keeps up the rate is covered in every pause, however it spreads its bytes, and one that stops or trickles runs out of what it has covered.

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -27,10 +27,9 @@
 // How long after its deadline a small response that has begun may complete: half of the lateness that the
 // platform allows for a final response.
 constexpr auto kLateResponseGrace = std::chrono::milliseconds(250);
-// A response of unknown length may go on after its deadline while its backend sends at least this much in
-// each kLateResponseGrace: a quarter of the rate of the slowest peers, since the process may be held up
-// meanwhile.
-constexpr size_t kMinLateBytes = 4096;
+// How long after its deadline a response of unknown length may be silent, however much it had given before:
+// the lateness that the platform allows for a final response.
+constexpr auto kMaxLateSilence = std::chrono::milliseconds(500);
 // A response of unknown length of which more than this has been passed on is taken to be larger than
 // kMaxBody. Its backend may pause.
 constexpr size_t kMinLongResponseBytes = kMaxBody * 2 / 3;
@@ -74,6 +73,7 @@
   body_.clear();
   response_.reset();
   started_at_ = Clock::now();
+  rate_.Reset(started_at_);
   deadline_ = started_at_ + Seconds(std::max(0.0, limits.timeout_s));
   send_deadline_ = limits.start_within_s > 0
                        ? std::min(deadline_, started_at_ + Seconds(limits.start_within_s))
@@ -127,13 +127,12 @@
 }
 
 void BackendConnection::WaitForStream(Clock::time_point when) {
-  WaitUntil(HasResponseDeadline() ? std::min(when, response_due_at_) : when);
+  WaitUntil(HasResponseDeadline() ? std::min(when, ResponseDueAt()) : when);
 }
 
 void BackendConnection::OnTimer() {
   if (!busy_) return RemoveAndClose();
-  if (streaming_response_ && HasResponseDeadline() && Clock::now() >= response_due_at_ &&
-      !ExtendResponseDeadline())
+  if (streaming_response_ && HasResponseDeadline() && Clock::now() >= ResponseDueAt())
     return Finish(AttemptResult::kReset, Cause::kResponseDeadline);
   if (streaming_response_) {
     // Waiting for the client to consume a piece is no stall: the client's own write timeout applies.
@@ -161,15 +160,15 @@
   return length ? *length <= kMaxBody : delivered_bytes_ <= kMinLongResponseBytes;
 }
 
-// Called when the response is due. One of unknown length may be larger than kMaxBody although that much of it
-// has not arrived, so it is due again later if it keeps up a rate.
-bool BackendConnection::ExtendResponseDeadline() {
-  if (parser_->content_length()) return false;
-  bool keeps_up = !delivered_when_late_ || awaiting_consumer_ ||
-                  delivered_bytes_ >= *delivered_when_late_ + kMinLateBytes;
-  delivered_when_late_ = delivered_bytes_;
-  response_due_at_ = Clock::now() + kLateResponseGrace;
-  return keeps_up;
+// When a response that has a deadline is cut off. One of unknown length may be larger than kMaxBody although
+// that much of it has not arrived, so it goes on while its backend keeps up the minimum rate.
+Clock::time_point BackendConnection::ResponseDueAt() const {
+  auto due_at = deadline_ + kLateResponseGrace;
+  // The backend can't give more while the client takes nothing, which has its own limit.
+  if (awaiting_consumer_) return std::max(due_at, Clock::now() + kLateResponseGrace);
+  if (parser_->content_length()) return due_at;
+  due_at = std::max(due_at, rate_.covered_until() + kMaxProcessStall);
+  return last_received_at_ > deadline_ ? due_at : std::min(due_at, deadline_ + kMaxLateSilence);
 }
 
 void BackendConnection::Connect() {
@@ -298,9 +297,6 @@
   streaming_response_ = true;
   auto length = parser_->content_length();
   last_progress_at_ = Clock::now();
-  // One of unknown length is checked at the deadline for the first time, to see how it goes on from there.
-  response_due_at_ = length ? deadline_ + kLateResponseGrace : deadline_;
-  delivered_when_late_.reset();
   WaitForStream(last_progress_at_ + kStallTimeout);
   return stream_.on_begin(std::exchange(response_->headers, std::string()),
                           length ? std::optional<uint64_t>(*length) : std::nullopt);
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -14,6 +14,7 @@
 #include "net/http.h"
 #include "net/message_decoding.h"
 #include "net/one_shot_timer.h"
+#include "net/peer_rate.h"
 #include "net/steady_clock.h"
 
 namespace lemonchute::net {
@@ -61,7 +62,7 @@
   void WaitForStream(Clock::time_point when);
   void OnTimer();
   bool HasResponseDeadline() const;
-  bool ExtendResponseDeadline();
+  Clock::time_point ResponseDueAt() const;
 
   // Connecting.
   void Connect();
@@ -143,9 +144,8 @@
   size_t received_bytes_ = 0;                // of the decoded body
   Clock::time_point last_received_at_;       // when the latest of them arrived
   size_t delivered_bytes_ = 0;
-  Clock::time_point response_due_at_;          // while HasResponseDeadline()
-  std::optional<size_t> delivered_when_late_;  // at the latest check after the request's deadline
-  Clock::time_point last_progress_at_;         // when a part of the body was last delivered or consumed
+  PeerRate rate_;                       // at which the body arrives
+  Clock::time_point last_progress_at_;  // when a part of the body was last delivered or consumed
 };
 
 }  // namespace lemonchute::net
--- a/src/net/backend_connection_responses.cpp
+++ b/src/net/backend_connection_responses.cpp
@@ -53,6 +53,9 @@
   if (size == 0) return;
   received_bytes_ += size;
   last_received_at_ = Clock::now();
+  // Before its deadline a response may come as it likes.
+  rate_.CoverUntil(std::min(last_received_at_, deadline_));
+  rate_.OnBytes(size);
 }
 
 void BackendConnection::Parse() {
@@ -113,6 +116,7 @@
     if (closed_ || attempt_ != current) return;
     awaiting_consumer_ = false;
     last_progress_at_ = Clock::now();
+    if (!delivering_) rate_.CoverUntil(last_progress_at_);
     if (delivering_) return;  // consumed within the call: the caller continues
     Parse();
     ContinueReading();
--- a/tests/misbehaving_peer_test.cpp
+++ b/tests/misbehaving_peer_test.cpp
@@ -181,6 +181,36 @@
   EXPECT_LT(Clock::now() - written_at, kLatest);
 }
 
+// How a backend gives a response.
+struct Bursts {
+  std::chrono::milliseconds first_byte_after;
+  size_t bytes;
+  std::chrono::milliseconds interval;
+};
+
+// Requests a response of unknown length, chunked or to the connection's end, from a backend that gives it in
+// bursts.
+// @return the body that the client receives, or what is missing
+std::string ReceiveInBursts(const std::string& body, const Bursts& bursts, bool chunked, int timeout_ms) {
+  Backend backend([&](const Message&, Connection& connection) {
+    std::this_thread::sleep_for(bursts.first_byte_after);
+    connection.Write(std::string("HTTP/1.1 200 OK\r\n") +
+                     (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    for (size_t offset = 0; offset < body.size(); offset += bursts.bytes) {
+      std::string burst = body.substr(offset, bursts.bytes);
+      connection.Write(chunked ? ChunkedBody(burst, bursts.bytes) : burst);
+      std::this_thread::sleep_for(bursts.interval);
+    }
+    if (chunked) connection.Write("0\r\n\r\n");
+    return std::string();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote", 1, timeout_ms));
+  EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+  return ReadChunkedBody(*client);
+}
+
 // Guards against: a response of unknown length that began in time and kept coming was cut off 0.25 s after
 // the client's timeout, since it had not reached the size from which a response counts as large.
 TEST(SlowBackend, LargeResponseOfUnknownLengthIsCompletedAfterTheTimeout) {
@@ -188,23 +218,8 @@
   constexpr auto kPieceInterval = std::chrono::milliseconds(50);  // 64 KB/s
   const std::string body = NumberedText(50 * kPieceBytes);
   for (bool chunked : {false, true}) {
-    Backend backend([&](const Message&, Connection& connection) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(600));
-      connection.Write(std::string("HTTP/1.1 200 OK\r\n") +
-                       (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
-      for (size_t offset = 0; offset < body.size(); offset += kPieceBytes) {
-        std::string piece = body.substr(offset, kPieceBytes);
-        connection.Write(chunked ? ChunkedBody(piece, kPieceBytes) : piece);
-        std::this_thread::sleep_for(kPieceInterval);
-      }
-      if (chunked) connection.Write("0\r\n\r\n");
-      return std::string();
-    });
-    GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
-    auto client = fixture.gateway->Connect();
-    client->Write(Request("quote", 1, 1100));
-    EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
-    EXPECT_TRUE(ReadChunkedBody(*client) == body) << "chunked " << chunked;
+    const Bursts bursts{std::chrono::milliseconds(600), kPieceBytes, kPieceInterval};
+    EXPECT_TRUE(ReceiveInBursts(body, bursts, chunked, 1100) == body) << "chunked " << chunked;
   }
 }
 
@@ -214,22 +229,48 @@
   constexpr auto kPause = std::chrono::milliseconds(1800);
   const std::string body = NumberedText(3 * kLumpBytes);
   for (bool chunked : {false, true}) {
+    const Bursts bursts{std::chrono::milliseconds(0), kLumpBytes, kPause};
+    EXPECT_TRUE(ReceiveInBursts(body, bursts, chunked, 500) == body) << "chunked " << chunked;
+  }
+}
+
+// Guards against: a long response of unknown length whose backend paused for 0.3 to 0.4 s, though its rate
+// was above that of the slowest peers, was cut off 0.25 s after the client's timeout.
+TEST(SlowBackend, LongResponseInBurstsIsCompletedAfterTheTimeout) {
+  constexpr int kTimeoutMs = 1000;
+  constexpr auto kFirstByte = std::chrono::milliseconds(kTimeoutMs - 100);
+  const std::string body = NumberedText(120000);
+  for (const Bursts& bursts : {Bursts{kFirstByte, 40000, std::chrono::milliseconds(400)},
+                               Bursts{kFirstByte, 20000, std::chrono::milliseconds(300)}}) {
+    for (bool chunked : {false, true})
+      EXPECT_TRUE(ReceiveInBursts(body, bursts, chunked, kTimeoutMs) == body)
+          << bursts.bytes << " bytes each, chunked " << chunked;
+  }
+}
+
+// What a small response has given before it stops or trickles buys it no more than the half second, and 50
+// ms, by which a final response may be late.
+TEST(SlowBackend, ResponseOfUnknownLengthThatStopsNearTheTimeoutIsCutOffInTime) {
+  constexpr int kTimeoutMs = 1000;
+  for (bool trickles : {false, true}) {
     Backend backend([&](const Message&, Connection& connection) {
-      connection.Write(std::string("HTTP/1.1 200 OK\r\n") +
-                       (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
-      for (size_t offset = 0; offset < body.size(); offset += kLumpBytes) {
-        std::string lump = body.substr(offset, kLumpBytes);
-        connection.Write(chunked ? ChunkedBody(lump, kLumpBytes) : lump);
-        std::this_thread::sleep_for(kPause);
+      std::this_thread::sleep_for(std::chrono::milliseconds(kTimeoutMs - 100));
+      connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       ChunkedBody(std::string(trickles ? 20000 : 40000, 'b'), 5000));
+      while (trickles && connection.IsOpen()) {
+        connection.Write("1\r\nb\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
       }
-      if (chunked) connection.Write("0\r\n\r\n");
+      connection.WaitForClose();
       return std::string();
     });
     GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
     auto client = fixture.gateway->Connect();
-    client->Write(Request("quote", 1, 500));
+    client->Write(Request("quote", 1, kTimeoutMs));
+    auto written_at = Clock::now();
     EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
-    EXPECT_TRUE(ReadChunkedBody(*client) == body) << "chunked " << chunked;
+    EXPECT_EQ(ReadChunkedBody(*client), "no last chunk");
+    EXPECT_LT(Clock::now() - written_at, std::chrono::milliseconds(kTimeoutMs + 550)) << trickles;
   }
 }
 
