Judge a slow reader by what its system acknowledges, not by its send buffer

Cause: ClientConnection::StartWriteTimer closed the connection when one piece could not be handed to the socket for 10 s. A socket is writable only once a third of its send buffer is free, and the buffer grows to 4 MB: 14 s at that rate. The socket's state stood for the client's.

Change: SendWatch reads what the client's system has acknowledged and credits it by PeerRate at 64 kB a second while a write waits, with 10 s of silence, and more where the client may have a large receive buffer. A client below that rate loses its connection; before, one with small buffers did not.

Why it works: a client that keeps up the rate never uses up its credit, whatever the buffers between hold, and one that takes nothing does in 10 s.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -16,6 +16,7 @@
 #include "net/one_shot_timer.h"
 #include "net/reasons.h"
 #include "net/response_text.h"
+#include "net/send_watch.h"
 #include "net/steady_clock.h"
 #include "net/upload_rate.h"
 
@@ -124,7 +125,9 @@
   void FlushStream();
   void EndStream(bool complete);
   void OnStreamEnded();
-  void StartWriteTimer();
+  void WatchWrite();
+  void ScheduleWriteCheck();
+  void CheckWrite();
   void Linger(std::chrono::milliseconds timeout = kLingerTimeout,
               CloseReason reason = CloseReason::kAnsweredLast);
 
@@ -162,6 +165,7 @@
   UploadRate upload_rate_;
 
   // The response.
+  SendWatch send_watch_;
   std::string writing_;         // referred to by the pending write
   std::string pending_;         // part of a stream to be written next
   std::string unsent_interim_;  // rest of a 100 Continue response, written before the next response
--- a/src/net/client_connection_responses.cpp
+++ b/src/net/client_connection_responses.cpp
@@ -4,13 +4,12 @@
 
 #include "net/client_connection.h"
 #include "net/client_server.h"
-#include "net/send_progress.h"
 
 namespace lemonchute::net {
 namespace {
 
-// Time for a client to read a response, or one piece of it.
-constexpr auto kWriteTimeout = std::chrono::seconds(10);
+// How often it is looked at whether a client takes its response.
+constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
 constexpr size_t kMaxIdleBufferBytes = 1024;  // that an idle connection keeps
 
 }  // namespace
@@ -26,6 +25,7 @@
 void ClientConnection::BeginStream(const std::string& headers, std::optional<uint64_t> length) {
   if (state_ != State::kAwaitingResponse) return;
   state_ = State::kStreaming;
+  send_watch_.Reset();
   stream_ended_ = false;
   chunked_ = !length && version_ >= 11;
   close_delimited_ = !length && !chunked_;
@@ -55,6 +55,7 @@
 
 void ClientConnection::Write(const ClientResponse& response, bool keep_alive) {
   state_ = State::kWriting;
+  send_watch_.Reset();
   streaming_request_ = false;
   on_piece_ = nullptr;
   writing_ = std::exchange(unsent_interim_, std::string());
@@ -65,7 +66,7 @@
     if (error) return PostClose(CloseReason::kClientEnded);
     OnResponseSent(keep_alive);
   });
-  StartWriteTimer();
+  WatchWrite();
 }
 
 void ClientConnection::OnResponseSent(bool keep_alive) {
@@ -93,12 +94,13 @@
     stream_write_pending_ = false;
     if (state_ == State::kClosed) return;
     timer_.Cancel();
+    send_watch_.Pause(Clock::now());
     if (error) return PostClose(CloseReason::kClientEnded);
     if (!pending_.empty()) return FlushStream();
     if (auto on_consumed = std::exchange(on_consumed_, nullptr)) on_consumed();
     FlushStream();
   });
-  if (stream_write_pending_) StartWriteTimer();
+  if (stream_write_pending_) WatchWrite();
 }
 
 void ClientConnection::EndStream(bool complete) {
@@ -121,15 +123,22 @@
   PostClose(CloseReason::kCutShort);
 }
 
-// Closes the connection of a client that does not read its response.
-void ClientConnection::StartWriteTimer() {
+// Closes the connection of a client that does not take its response, from when a write waits for it.
+void ClientConnection::WatchWrite() {
   if (state_ != State::kWriting && state_ != State::kStreaming) return;
-  uint64_t acknowledged_bytes = ReadSendProgress(socket_.native_handle()).acknowledged_bytes;
-  timer_.Start(kWriteTimeout, [self = shared_from_this(), this, acknowledged_bytes] {
-    if (state_ != State::kWriting && state_ != State::kStreaming) return;
-    server_->LogSlowReader(id_, ReadSendProgress(socket_.native_handle()), acknowledged_bytes);
-    Close(CloseReason::kSlowReader);
-  });
+  send_watch_.Resume(socket_, Clock::now());
+  ScheduleWriteCheck();
+}
+
+void ClientConnection::ScheduleWriteCheck() {
+  timer_.Start(kWriteCheckInterval, [self = shared_from_this(), this] { CheckWrite(); });
+}
+
+void ClientConnection::CheckWrite() {
+  if (state_ != State::kWriting && state_ != State::kStreaming) return;
+  if (!send_watch_.IsTooSlow(socket_, Clock::now())) return ScheduleWriteCheck();
+  server_->LogSlowReader(id_, send_watch_);
+  Close(CloseReason::kSlowReader);
 }
 
 // Shuts the connection down for writing and keeps reading, so that the last response reaches a client that is
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -138,12 +138,11 @@
                connections_.size());
 }
 
-void ClientServer::LogSlowReader(uint64_t id, const SendProgress& progress, uint64_t acknowledged_before) {
+void ClientServer::LogSlowReader(uint64_t id, const SendWatch& watch) {
   if (!TakeLogLine(&slow_reader_logged_at_)) return;
-  std::fprintf(stderr, "connection=%llu closed, its client is slow: took %llu bytes lately, %llu wait\n",
-               static_cast<unsigned long long>(id),
-               static_cast<unsigned long long>(progress.acknowledged_bytes - acknowledged_before),
-               static_cast<unsigned long long>(progress.waiting_bytes));
+  std::fprintf(stderr, "connection=%llu closed, its client is slow: took %llu bytes, %llu wait\n",
+               static_cast<unsigned long long>(id), static_cast<unsigned long long>(watch.taken_bytes()),
+               static_cast<unsigned long long>(watch.waiting_bytes()));
 }
 
 void ClientServer::ResumeReading() {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -19,7 +19,7 @@
 #include "net/memory_budget.h"
 #include "net/one_shot_timer.h"
 #include "net/reasons.h"
-#include "net/send_progress.h"
+#include "net/send_watch.h"
 
 namespace lemonchute::net {
 
@@ -99,8 +99,7 @@
   // Counts a request that is refused for want of memory, and logs it at times.
   void CountMemoryRefusal();
   // Logs at times that a connection is closed because its client takes too little of a response.
-  // @param acknowledged_before bytes that the client had taken when it began to be watched
-  void LogSlowReader(uint64_t id, const SendProgress& progress, uint64_t acknowledged_before);
+  void LogSlowReader(uint64_t id, const SendWatch& watch);
 
   asio::io_context& io_;
   Listener listener_;
--- a/src/net/send_progress.cpp
+++ b/src/net/send_progress.cpp
@@ -13,10 +13,8 @@
   SendProgress progress;
   tcp_info info{};
   socklen_t size = sizeof(info);
-  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0) {
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
     progress.acknowledged_bytes = info.tcpi_bytes_acked;
-    progress.peer_window_bytes = info.tcpi_snd_wnd;
-  }
   int waiting_bytes = 0;
   if (ioctl(socket, SIOCOUTQ, &waiting_bytes) == 0 && waiting_bytes > 0)
     progress.waiting_bytes = static_cast<uint64_t>(waiting_bytes);
--- a/src/net/send_progress.h
+++ b/src/net/send_progress.h
@@ -12,7 +12,6 @@
 struct SendProgress {
   uint64_t acknowledged_bytes = 0;  ///< Taken by the peer's system since the connection was opened.
   uint64_t waiting_bytes = 0;       ///< In the send buffer: not acknowledged, whether sent or not.
-  uint64_t peer_window_bytes = 0;   ///< Space that the peer announced last.
 };
 
 /// @param socket descriptor of a connected TCP socket
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <csignal>
@@ -102,6 +103,12 @@
     if (n > 0) unread.append(part, static_cast<size_t>(n));
     return n > 0;
   }
+  // Reads and drops at most `max` bytes. Returns their number; 0 at the end of the connection.
+  size_t Discard(size_t max) {
+    char part[65536];
+    ssize_t n = recv(fd_, part, std::min(max, sizeof(part)), 0);
+    return n > 0 ? static_cast<size_t>(n) : 0;
+  }
   Message Read() {
     Message message;
     size_t end;
--- /dev/null
+++ b/tests/slow_peer_test.cpp
@@ -0,0 +1,157 @@
+// Peers that take bytes slowly: those that keep up the slowest rate of the specification (64 kB a second) are
+// served to the end, steady or in gulps, and those that take nothing are given up in a bounded time.
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "gateway_site.h"
+#include "net/peer_rate.h"
+
+namespace {
+
+using namespace rig;  // NOLINT
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr size_t kMegabyte = size_t{1} << 20;
+// Longer than the time without progress after which a connection is given up.
+constexpr auto kLongerThanAnyTimeout = std::chrono::seconds(14);
+
+// How a peer reads: `bytes_per_s`, as much as it is behind in each interval.
+struct Pace {
+  size_t bytes_per_s;
+  milliseconds interval;
+};
+constexpr Pace kSteady{68000, milliseconds(50)}, kGulps{128000, milliseconds(2000)},
+    kSlowest{64000, milliseconds(50)}, kTrickle{4000, milliseconds(50)};
+
+// Reads and drops bytes at the given pace.
+// @return their number; fewer than the pace implies if the connection has ended
+size_t ReadAtPace(Connection& connection, Pace pace, Clock::duration time) {
+  auto began_at = Clock::now();
+  size_t received = 0;
+  for (auto elapsed = Clock::duration::zero(); elapsed < time; elapsed = Clock::now() - began_at) {
+    auto due = static_cast<size_t>(std::chrono::duration<double>(elapsed).count() *
+                                   static_cast<double>(pace.bytes_per_s));
+    while (received < due) {
+      size_t size = connection.Discard(due - received);
+      if (size == 0) return received;
+      received += size;
+    }
+    std::this_thread::sleep_for(pace.interval);
+  }
+  return received;
+}
+
+// Reads and drops up to `size` bytes as fast as they come.
+// @return their number; fewer if the connection has ended
+size_t ReadQuickly(Connection& connection, size_t size) {
+  size_t received = 0;
+  for (size_t part = 1; received < size && part > 0; received += part)
+    part = connection.Discard(size - received);
+  return received;
+}
+
+// Several entries of one backend, so that requests which are in flight together don't exceed its limit.
+json ManyEntries(const Backend& backend) {
+  json entries = json::array();
+  for (int i = 0; i < 8; ++i)
+    entries.push_back(EndpointEntry(std::string("s").append(std::to_string(i)), backend.port()));
+  return entries;
+}
+
+// Guards against: a long response to a client that took it all the while was cut off, because no space in the
+// socket's send buffer for 10 s counted as a client that takes nothing.
+TEST(SlowClient, LongResponseIsCompletedAtTheSlowestRate) {
+  constexpr size_t kSize = 8 * kMegabyte;
+  Backend backend(RespondsWith(OkResponse(std::string(kSize, 'b'))));
+  GatewayFixture fixture(ManyEntries(backend), {}, LEMONCHUTE_GATEWAY, 0, kAdminEnvironment);
+  struct Reader {
+    std::string request = RequestOfNewCustomer("quote");
+    size_t first_quickly;  // bytes that it reads as fast as they come, which enlarges its receive buffer
+    Pace pace;             // after that
+    size_t received = 0;   // of the body
+  };
+  std::vector<Reader> readers = {{.first_quickly = 0, .pace = kSteady},
+                                 {.first_quickly = 0, .pace = kGulps},
+                                 {.first_quickly = 0, .pace = kSlowest},
+                                 {.first_quickly = 2 * kMegabyte, .pace = kSlowest}};
+  std::vector<std::thread> threads;
+  for (Reader& reader : readers) {
+    threads.emplace_back([&] {
+      auto client = fixture.gateway->Connect();
+      client->Write(reader.request);
+      if (client->ReadUntil("\r\n\r\n").rfind("HTTP/1.1 200 ", 0) != 0) return;
+      reader.received = client->unread.size() + ReadQuickly(*client, reader.first_quickly);
+      reader.received += ReadAtPace(*client, reader.pace, kLongerThanAnyTimeout);
+      reader.received += ReadQuickly(*client, kSize - reader.received);
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  for (const Reader& reader : readers)
+    EXPECT_EQ(reader.received, kSize) << reader.pace.bytes_per_s << " bytes/s";
+}
+
+// Guards against: the same with small responses, behind others that the client had not read yet.
+TEST(SlowClient, SmallResponsesAreCompletedAtTheSlowestRate) {
+  constexpr int kRequests = 110;  // more than the sockets' buffers hold the responses of
+  Backend backend(RespondsWith(OkResponse(std::string(60000, 'b'))));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) requests += RequestOfNewCustomer("quote");
+  auto client = fixture.gateway->Connect();
+  client->Write(requests);
+  size_t read = 0;
+  auto began_at = Clock::now();
+  for (; read < kRequests; ++read) {
+    Message response = client->Read();
+    if (!response.complete) break;
+    EXPECT_NE(response.status(), 0);
+    if (Clock::now() < began_at + kLongerThanAnyTimeout)
+      std::this_thread::sleep_for(milliseconds(1000 * response.body.size() / kSlowest.bytes_per_s));
+  }
+  EXPECT_EQ(read, kRequests);
+}
+
+// A client that takes nothing, or next to nothing, loses its connection, whatever it waits for.
+TEST(SlowClient, ThatTakesNothingLosesItsConnection) {
+  constexpr auto kLatest = std::chrono::seconds(20);
+  Backend backend([](const Message& request, Connection&) {
+    bool is_long = request.head.find("/quote") != std::string::npos;
+    return OkResponse(std::string(is_long ? 32 * kMegabyte : 60000, 'b'));
+  });
+  GatewayFixture fixture(ManyEntries(backend), {}, LEMONCHUTE_GATEWAY, 0, kAdminEnvironment);
+  auto silent = fixture.gateway->Connect(), trickling = fixture.gateway->Connect(),
+       pipelining = fixture.gateway->Connect();
+  silent->Write(RequestOfNewCustomer("quote"));
+  trickling->Write(RequestOfNewCustomer("quote"));
+  std::string requests;
+  for (int i = 0; i < 110; ++i) requests += RequestOfNewCustomer("send-lead");
+  pipelining->Write(requests);
+  auto began_at = Clock::now();
+  std::thread reader([&] { ReadAtPace(*trickling, kTrickle, kLatest); });
+  AwaitMetric(fixture.gateway->admin_port, "closed.slow_reader", 3);
+  EXPECT_LT(Clock::now() - began_at, kLatest);
+  reader.join();
+}
+
+TEST(PeerRate, CoversPausesThatTheRateAllows) {
+  using lemonchute::net::PeerRate;
+  const Clock::time_point start{};
+  PeerRate rate;
+  rate.Reset(start);
+  for (int burst = 0; burst < 100; ++burst) {
+    auto now = start + std::chrono::seconds(2 * burst);
+    EXPECT_GE(rate.covered_until(), now) << burst;
+    rate.OnBytes(128000);
+  }
+  EXPECT_EQ(rate.covered_until(), start + std::chrono::seconds(200));
+  rate.OnBytes(64);  // each 50 ms
+  EXPECT_LT(rate.covered_until(), start + std::chrono::seconds(200) + milliseconds(50)) << "a trickle";
+  rate.LimitTo(start + std::chrono::seconds(10));
+  EXPECT_EQ(rate.covered_until(), start + std::chrono::seconds(10));
+}
+
+}  // namespace
