After SIGTERM end only once every answer is handed to the kernel

Cause: Lifecycle::EndOnceStreamsAreComplete counted requests without an answer, not answers that are being written, and took 30 s for the end of all progress.

Evidence and the tests before: bytes of an incomplete response: Which is: 39060 [ FAILED ] Closing.ResponseThatIsBeingWrittenIsCompletedIfTheKillDoesNotCome [ FAILED ] Closing.LongResponseGoesOnAfterSigtermWhileItProgresses (36013 ms)

Why it works: the process waits for the connections that still write; each is bounded by what its backend gives and its client takes. What the kernel holds is delivered without the process. Both tests pass after.

--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -52,6 +52,9 @@
   /// Whether no request has begun.
   bool idle() const { return state_ == State::kReading && !request_begun_ && buffer_.size() == 0; }
 
+  /// Whether a part of a response is still to be handed to the socket.
+  bool IsWriting() const { return state_ == State::kStreaming || state_ == State::kWriting; }
+
   void Start();
   /// Sends the response. A streamed response is completed if the status is 200 and cut off otherwise.
   void Reply(const ClientResponse& response);
--- a/src/net/client_connection_responses.cpp
+++ b/src/net/client_connection_responses.cpp
@@ -125,7 +125,7 @@
 
 // Closes the connection of a client that does not take its response, from when a write waits for it.
 void ClientConnection::WatchWrite() {
-  if (state_ != State::kWriting && state_ != State::kStreaming) return;
+  if (!IsWriting()) return;
   send_watch_.Resume(socket_, Clock::now());
   ScheduleWriteCheck();
 }
@@ -135,7 +135,7 @@
 }
 
 void ClientConnection::CheckWrite() {
-  if (state_ != State::kWriting && state_ != State::kStreaming) return;
+  if (!IsWriting()) return;
   if (!send_watch_.IsTooSlow(socket_, Clock::now())) return ScheduleWriteCheck();
   server_->LogSlowReader(id_, send_watch_);
   Close(CloseReason::kSlowReader);
--- a/src/net/client_server.cpp
+++ b/src/net/client_server.cpp
@@ -151,6 +151,11 @@
   }
 }
 
+bool ClientServer::IsWriting() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->IsWriting(); });
+}
+
 void ClientServer::CloseIdle() {
   std::vector<uint64_t> ids(idle_order_.begin(), idle_order_.end());
   for (uint64_t id : ids) {
--- a/src/net/client_server.h
+++ b/src/net/client_server.h
@@ -78,6 +78,9 @@
   void SetCloseAfterResponse(bool ask) { close_after_response_ = ask; }
   /// Closes the connections on which no request has begun.
   void CloseIdle();
+  /// Whether a response is not handed to the kernel completely, which goes on sending at the end of the
+  /// process.
+  bool IsWriting() const;
   /// Whether no connection is open and none is waiting to be accepted.
   bool HasNoConnections() { return connections_.empty() && !listener_.HasPendingConnection(); }
 
--- a/src/net/lifecycle.cpp
+++ b/src/net/lifecycle.cpp
@@ -23,8 +23,8 @@
 constexpr double kShutdownMarginS = 0.6;
 // How long before the end of the process the last responses are sent, so that clients can read them.
 constexpr double kFinalResponseLeadS = 0.1;
-// If SIGKILL does not come, streamed responses may go on for this long.
-constexpr double kMaxStreamDrainS = 30;
+// If SIGKILL does not come, how often it is looked at whether responses are still being written.
+constexpr double kResponsePollS = 0.05;
 
 double LongestDeadlineS(const policy::Settings& settings) {
   double longest_s = 0;
@@ -160,17 +160,18 @@
     requests_.FailAllUnstarted();
     shutdown_timer_.expires_at(end_at);
     shutdown_timer_.async_wait([this](error_code stopped) {
-      if (!stopped) EndOnceStreamsAreComplete();
+      if (!stopped) EndOnceResponsesAreWritten();
     });
   });
 }
 
-// Only streamed responses are unanswered now. A process that ended by itself would cut them off.
-void Lifecycle::EndOnceStreamsAreComplete() {
-  if (requests_.unanswered() == 0) return io_.stop();
-  shutdown_timer_.expires_after(Seconds(kMaxStreamDrainS));
+// A process that ended by itself would cut off the responses that have begun. Each of them has its own limits
+// on a backend that stops and a client that takes too little.
+void Lifecycle::EndOnceResponsesAreWritten() {
+  if (requests_.unanswered() == 0 && !server_.IsWriting()) return io_.stop();
+  shutdown_timer_.expires_after(Seconds(kResponsePollS));
   shutdown_timer_.async_wait([this](error_code stopped) {
-    if (!stopped) io_.stop();
+    if (!stopped) EndOnceResponsesAreWritten();
   });
 }
 
--- a/src/net/lifecycle.h
+++ b/src/net/lifecycle.h
@@ -77,7 +77,7 @@
   void StopDraining();
   void CloseIdleConnections();
   void ScheduleEnd();
-  void EndOnceStreamsAreComplete();
+  void EndOnceResponsesAreWritten();
 
   asio::io_context& io_;
   const std::shared_ptr<const Config>& config_;
--- a/tests/slow_peer_test.cpp
+++ b/tests/slow_peer_test.cpp
@@ -137,6 +137,53 @@
   reader.join();
 }
 
+json WithShortDeadlines() {
+  json config = DefaultConfig(0, 0);
+  for (json& request_class : config["settings"]["request-classes"]) request_class["hard-limit-s"] = 0.5;
+  return config;
+}
+
+// Guards against: the process ended by itself while small responses waited for a slow client, and cut the one
+// off that was being written.
+TEST(Closing, ResponseThatIsBeingWrittenIsCompletedIfTheKillDoesNotCome) {
+  Backend backend(RespondsWith(OkResponse(std::string(60000, 'b'))));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), WithShortDeadlines());
+  std::string requests;
+  for (int i = 0; i < 110; ++i) requests += RequestOfNewCustomer("quote");
+  auto client = fixture.gateway->Connect();
+  client->Write(requests);
+  std::this_thread::sleep_for(milliseconds(700));  // until the sockets' buffers are full
+  fixture.gateway->Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(2000));  // beyond the end of its grace period, 1.1 s
+  while (client->Read().complete) {
+  }
+  EXPECT_EQ(client->unread.size(), 0u) << "bytes of an incomplete response";
+  EXPECT_EQ(fixture.gateway->WaitForExit(), 0);
+}
+
+// Guards against: 30 s after its grace period the process ended by itself and cut off a response that its
+// backend still gave and its client still took.
+TEST(Closing, LongResponseGoesOnAfterSigtermWhileItProgresses) {
+  constexpr int kPieces = 18;  // 36 s
+  constexpr size_t kPieceBytes = 128000;
+  Backend backend([&](const Message&, Connection& connection) {
+    connection.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < kPieces; ++i) {
+      connection.Write(ChunkedBody(std::string(kPieceBytes, 'b'), kPieceBytes));
+      std::this_thread::sleep_for(milliseconds(2000));
+    }
+    connection.Write("0\r\n\r\n");
+    return std::string();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), WithShortDeadlines());
+  auto client = fixture.gateway->Connect();
+  client->Write(Request("quote"));
+  EXPECT_NE(client->ReadUntil("\r\n\r\n"), "");
+  fixture.gateway->Signal(SIGTERM);
+  EXPECT_EQ(ReadChunkedBody(*client).size(), kPieces * kPieceBytes);
+  EXPECT_EQ(fixture.gateway->WaitForExit(), 0);
+}
+
 TEST(PeerRate, CoversPausesThatTheRateAllows) {
   using lemonchute::net::PeerRate;
   const Clock::time_point start{};
