Judge a backend that takes an upload slowly by what it acknowledges

Cause: BackendConnection::OnTimer ended the attempt when one piece could not be handed to the socket for 10 s. The socket becomes writable only once a third of its send buffer is free.

The regression test before: client->Read().status() Which is: 503 [ FAILED ] SlowBackend.UploadIsCompletedAtTheSlowestRate (11834 ms) After: passes (14668 ms).

--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -22,8 +22,10 @@
 // first, which would be matched to the next request. More than twice the longest delay observed; a longer
 // pause would require more new connections.
 constexpr auto kReuseDelay = std::chrono::milliseconds(10);
-// A streamed message without progress for this long counts as aborted.
+// A streamed response without progress for this long counts as aborted.
 constexpr auto kStallTimeout = std::chrono::seconds(10);
+// How often it is looked at whether a backend takes a streamed request.
+constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
 // How long after its deadline a small response that has begun may complete: half of the lateness that the
 // platform allows for a final response.
 constexpr auto kLateResponseGrace = std::chrono::milliseconds(250);
@@ -67,6 +69,7 @@
   done_ = std::move(done);
   stream_ = std::move(stream);
   streaming_response_ = awaiting_consumer_ = awaiting_upload_ = false;
+  send_watch_.Reset();
   received_bytes_ = delivered_bytes_ = 0;
   upload_s_ = connect_wait_s_ = 0;
   streamed_request_ = stream_.request_more != nullptr;
@@ -130,6 +133,10 @@
   WaitUntil(HasResponseDeadline() ? std::min(when, ResponseDueAt()) : when);
 }
 
+void BackendConnection::WaitForUpload() {
+  WaitUntil(std::min(deadline_, Clock::now() + kWriteCheckInterval));
+}
+
 void BackendConnection::OnTimer() {
   if (!busy_) return RemoveAndClose();
   if (streaming_response_ && HasResponseDeadline() && Clock::now() >= ResponseDueAt())
@@ -140,11 +147,10 @@
     return Clock::now() < stalled_at ? WaitForStream(stalled_at)
                                      : Finish(AttemptResult::kReset, Cause::kResponseStalled);
   }
-  if (streamed_request_ && !written_ && open_ && Clock::now() < deadline_) {
-    // Waiting for the next piece from the client is no stall.
-    auto stalled_at = (awaiting_upload_ ? Clock::now() : last_write_at_) + kStallTimeout;
-    if (Clock::now() < stalled_at) return WaitUntil(std::min(stalled_at, deadline_));
-  }
+  // Waiting for the next piece from the client is no failure of the backend.
+  if (streamed_request_ && !written_ && open_ && Clock::now() < deadline_ &&
+      (awaiting_upload_ || !send_watch_.IsTooSlow(socket_, Clock::now())))
+    return WaitForUpload();
   written_ ? Finish(AttemptResult::kTimeout, Cause::kTimeout) : FailUnwritten();
 }
 
@@ -211,7 +217,7 @@
   if (may_send_ && !may_send_()) return FailUnsent(AttemptResult::kNotSent);
   last_write_at_ = Clock::now();
   double announced_s = InsertTimeout();
-  WaitUntil(streamed_request_ ? std::min(deadline_, last_write_at_ + kStallTimeout) : deadline_);
+  streamed_request_ ? WaitForUpload() : WaitUntil(deadline_);
   Write();
   CheckSendInvariants(announced_s);
 }
@@ -244,8 +250,11 @@
 
 void BackendConnection::Write() {
   if (!reading_) Read();
+  write_pending_ = true;
   WriteAll(socket_, message_, [self = shared_from_this(), this, current = attempt_](error_code error) {
     if (closed_ || !busy_ || attempt_ != current) return;
+    write_pending_ = false;
+    send_watch_.Pause(Clock::now());
     if (!error && stream_.request_more) return RequestNextPiece();
     if (!error) {
       if (streamed_request_) WaitUntil(deadline_);
@@ -259,6 +268,7 @@
       if (busy_ && attempt_ == current) Finish(AttemptResult::kConnectFailed, Cause::kConnectionEnded);
     });
   });
+  if (write_pending_ && streamed_request_) send_watch_.Resume(socket_, Clock::now());
 }
 
 void BackendConnection::RequestNextPiece() {
@@ -274,7 +284,7 @@
       stream_.request_more = nullptr;
       upload_s_ = ElapsedSeconds(started_at_, last_write_at_);
       deadline_ = last_write_at_ + Seconds(piece.timeout_s);
-      WaitUntil(std::min(deadline_, last_write_at_ + kStallTimeout));
+      WaitForUpload();
     }
     Write();
   });
--- a/src/net/backend_connection.h
+++ b/src/net/backend_connection.h
@@ -15,6 +15,7 @@
 #include "net/message_decoding.h"
 #include "net/one_shot_timer.h"
 #include "net/peer_rate.h"
+#include "net/send_watch.h"
 #include "net/steady_clock.h"
 
 namespace lemonchute::net {
@@ -60,6 +61,7 @@
   // The attempt's timer.
   void WaitUntil(Clock::time_point when);
   void WaitForStream(Clock::time_point when);
+  void WaitForUpload();
   void OnTimer();
   bool HasResponseDeadline() const;
   Clock::time_point ResponseDueAt() const;
@@ -129,6 +131,8 @@
   std::function<bool()> may_send_;
   bool streamed_request_ = false;  // forwarded piece by piece
   bool awaiting_upload_ = false;   // the next piece was requested and has not arrived
+  bool write_pending_ = false;     // a write waits for the socket
+  SendWatch send_watch_;           // of a streamed request
   bool written_ = false;           // the last byte was sent: the request may have been executed
   double upload_s_ = 0;            // from the start until the last piece arrived
   Clock::time_point last_write_at_;
--- a/tests/slow_peer_test.cpp
+++ b/tests/slow_peer_test.cpp
@@ -137,6 +137,27 @@
   reader.join();
 }
 
+// Guards against: a large request whose backend took it all the while failed, because no space in the
+// socket's send buffer for 10 s counted as a backend that takes nothing.
+TEST(SlowBackend, UploadIsCompletedAtTheSlowestRate) {
+  const std::string body(40 * kMegabyte,
+                         'b');  // more than the buffers hold, so that its last byte is still to come
+  Server backend([&](Connection& connection) {
+    if (connection.ReadUntil("\r\n\r\n").empty()) return;
+    size_t received = connection.unread.size();
+    received += ReadAtPace(connection, kSteady, kLongerThanAnyTimeout);
+    received += ReadQuickly(connection, body.size() - received);
+    if (received == body.size()) connection.Write(OkResponse("x"));
+    connection.WaitForClose();
+  });
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}));
+  auto client = fixture.gateway->Connect();
+  std::thread writer([&] { client->Write(Request("send-lead", 1, 2500, "", body)); });
+  EXPECT_EQ(client->Read().status(), 200);
+  client->Shutdown();
+  writer.join();
+}
+
 json WithShortDeadlines() {
   json config = DefaultConfig(0, 0);
   for (json& request_class : config["settings"]["request-classes"]) request_class["hard-limit-s"] = 0.5;
