Allow an upload the time that 64,000 bytes a second take

Cause: ComputeTimeLimits took 64 kB for 65,536 bytes. It now uses kMinPeerBytesPerS.

The regression test before: Expected: (limits.timeout_s) >= (kSize / 64000.0 + kTimeoutS), actual: 491.281 vs 503 [ FAILED ] SlowClient.TimeOfAnUploadAllowsForTheSlowestRate After: passes.

--- a/src/net/in_flight_request.cpp
+++ b/src/net/in_flight_request.cpp
@@ -3,13 +3,14 @@
 #include <cstdio>
 #include <utility>
 
+#include "net/peer_rate.h"
+
 namespace lemonchute::net {
 namespace {
 
 // The response is decided this long before the client's timeout; the smaller of the two values applies.
 constexpr double kResponseMarginS = 0.01;
 constexpr double kResponseMarginShare = 0.1;  // of the client's timeout
-constexpr double kMinUploadBytesPerS = 64 * 1024;
 constexpr size_t kTypicalHeadBytes = 512;
 
 void AppendBody(ClientMessage& message, const std::optional<Upload>& upload, InFlightRequest* request) {
@@ -36,7 +37,7 @@
     // The client's timeout counts from the last byte of the request. The upload before it has its own limit.
     uint64_t missing_bytes = upload->length ? *upload->length - message.body().size() : kMaxStreamedBytes;
     limits.timeout_s =
-        std::min(kMaxTimeoutS, client_timeout_s + static_cast<double>(missing_bytes) / kMinUploadBytesPerS);
+        std::min(kMaxTimeoutS, client_timeout_s + static_cast<double>(missing_bytes) / kMinPeerBytesPerS);
   }
   limits.timeout_s = std::min(limits.timeout_s, remaining_lifetime_s);
   return limits;
--- a/tests/slow_peer_test.cpp
+++ b/tests/slow_peer_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "gateway_site.h"
+#include "net/in_flight_request.h"
 #include "net/peer_rate.h"
 
 namespace {
@@ -158,6 +159,15 @@
   writer.join();
 }
 
+// The time for an upload allows for the slowest rate, in which 64 kB are 64,000 bytes.
+TEST(SlowClient, TimeOfAnUploadAllowsForTheSlowestRate) {
+  using namespace lemonchute::net;  // NOLINT
+  constexpr uint64_t kSize = 32'000'000;
+  constexpr double kTimeoutS = 3, kUnlimitedS = 1e9;
+  RequestTimeLimits limits = ComputeTimeLimits(kTimeoutS, ClientMessage{}, Upload{kSize}, kUnlimitedS);
+  EXPECT_GE(limits.timeout_s, kSize / 64000.0 + kTimeoutS);
+}
+
 json WithShortDeadlines() {
   json config = DefaultConfig(0, 0);
   for (json& request_class : config["settings"]["request-classes"]) request_class["hard-limit-s"] = 0.5;
