Judge a slow caller of the operators' endpoint by what it takes

Cause: AdminServer's connection closed 1 s after the call, whatever the caller took. Now SendWatch applies until the answer is handed to the socket, and the second for the caller's close begins then. The timer is one whose cancellation is reliable.

Why it works: a caller that keeps up 64 kB a second never uses up its credit; one that takes nothing does in 10 s.

--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -1,6 +1,8 @@
 #include "net/admin_server.h"
 
 #include "net/message_decoding.h"
+#include "net/one_shot_timer.h"
+#include "net/send_watch.h"
 
 namespace lemonchute::net {
 namespace {
@@ -10,7 +12,10 @@
     2 * AdminServer::kMaxBodyBytes;  // after a request, until its response is read
 constexpr auto kRequestTimeout =
     std::chrono::milliseconds(3000);  // until a request is complete and has its response
-constexpr auto kLingerTimeout = std::chrono::milliseconds(1000);  // for the caller to read its response
+constexpr auto kLingerTimeout =
+    std::chrono::milliseconds(1000);  // for the caller to close after its response
+// How often it is looked at whether a caller takes its response.
+constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
 constexpr int kBacklog = 128;
 
 }  // namespace
@@ -38,15 +43,18 @@
   }
   void Detach() {
     closed_ = true;
-    timer_.cancel();
+    timer_.Cancel();
     CloseNow(socket_);
   }
 
  private:
   void StartTimeout(std::chrono::milliseconds timeout) {
-    timer_.expires_after(timeout);
-    timer_.async_wait([self = shared_from_this(), this](error_code cancelled) {
-      if (!cancelled) Close();
+    timer_.Start(timeout, [self = shared_from_this(), this] { Close(); });
+  }
+
+  void ScheduleWriteCheck() {
+    timer_.Start(kWriteCheckInterval, [self = shared_from_this(), this] {
+      send_watch_.IsTooSlow(socket_, Clock::now()) ? Close() : ScheduleWriteCheck();
     });
   }
 
@@ -94,17 +102,20 @@
                "\r\nContent-Type: " + response.content_type +
                "\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size()) +
                "\r\n\r\n" + response.body;
-    StartTimeout(kLingerTimeout);
+    send_watch_.Resume(socket_, Clock::now());
+    ScheduleWriteCheck();
     WriteAll(socket_, message_, [self = shared_from_this(), this](error_code error) {
       if (closed_) return;
       if (error) return Close();
+      StartTimeout(kLingerTimeout);
       socket_.shutdown(tcp::socket::shutdown_send, error);  // closed when the caller closes its end
     });
   }
 
   AdminServer* server_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  OneShotTimer timer_;  // limits the request, then its response, then lingering
+  SendWatch send_watch_;
   boost::beast::flat_buffer buffer_{kMaxHeadBytes + kReadChunk};
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string message_;
--- a/tests/slow_peer_test.cpp
+++ b/tests/slow_peer_test.cpp
@@ -1,5 +1,7 @@
 // Peers that take bytes slowly: those that keep up the slowest rate of the specification (64 kB a second) are
 // served to the end, steady or in gulps, and those that take nothing are given up in a bounded time.
+#include <netinet/tcp.h>
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -168,6 +170,61 @@
   EXPECT_GE(limits.timeout_s, kSize / 64000.0 + kTimeoutS);
 }
 
+// Connects with the segments and buffers of a network rather than of the loopback interface, so that the
+// sender's buffer stays small.
+std::unique_ptr<Connection> ConnectWithSmallBuffers(int port) {
+  constexpr int kSegmentBytes = 1448, kReceiveBufferBytes = 4096;
+  sockaddr_in address;
+  int fd = MakeLoopbackSocket(&address, port);
+  setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+  EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  return std::make_unique<Connection>(fd);
+}
+
+// A configuration of some 0.4 MB.
+json WithLongPlanNames() {
+  json config = DefaultConfig(0, 0);
+  json& plans = config["settings"]["tiers-of-service"];
+  json plan = plans[0];
+  for (int i = 0; i < 200; ++i) {
+    plan["name"] = std::to_string(i).append(2000, 'x');
+    plans.push_back(plan);
+  }
+  return config;
+}
+
+// Guards against: a long response of the admin endpoint was cut off 1 s after its call, however its caller
+// read.
+TEST(AdminEndpoint, LongResponseIsCompletedAtTheSlowestRate) {
+  Backend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), WithLongPlanNames(),
+                         LEMONCHUTE_GATEWAY, 0, kAdminEnvironment);
+  auto caller = ConnectWithSmallBuffers(fixture.gateway->admin_port);
+  caller->Write("GET /control/config/running HTTP/1.1\r\nHost: ops\r\n\r\n");
+  std::string head = caller->ReadUntil("\r\n\r\n");
+  size_t length = std::strtoul(head.c_str() + head.find("Content-Length: ") + 16, nullptr, 10);
+  EXPECT_GT(length, 300000u);
+  size_t received = caller->unread.size();
+  received += ReadAtPace(*caller, kSteady, std::chrono::seconds(3));
+  received += ReadQuickly(*caller, length - received);
+  EXPECT_EQ(received, length);
+}
+
+// A caller that takes nothing loses its connection, and others are answered meanwhile.
+TEST(AdminEndpoint, CallerThatTakesNothingLosesItsConnection) {
+  Backend backend(RespondsWith(OkResponse("x")));
+  GatewayFixture fixture(json::array({EndpointEntry("s1", backend.port())}), WithLongPlanNames(),
+                         LEMONCHUTE_GATEWAY, 0, kAdminEnvironment);
+  const size_t descriptors = fixture.gateway->CountDescriptors();
+  auto caller = ConnectWithSmallBuffers(fixture.gateway->admin_port);
+  caller->Write("GET /control/config/running HTTP/1.1\r\nHost: ops\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  EXPECT_EQ(AdminCall(fixture.gateway->admin_port, "GET", "/control/ready").status(), 200);
+  std::this_thread::sleep_for(kLongerThanAnyTimeout);
+  EXPECT_LE(fixture.gateway->CountDescriptors(), descriptors) << "the caller's connection is still open";
+}
+
 json WithShortDeadlines() {
   json config = DefaultConfig(0, 0);
   for (json& request_class : config["settings"]["request-classes"]) request_class["hard-limit-s"] = 0.5;
