--- a/src/net/admin_server.cpp
+++ b/src/net/admin_server.cpp
@@ -12,10 +12,8 @@
     2 * AdminServer::kMaxBodyBytes;  // after a request, until its response is read
 constexpr auto kRequestTimeout =
     std::chrono::milliseconds(3000);  // until a request is complete and has its response
-constexpr auto kLingerTimeout =
-    std::chrono::milliseconds(1000);  // for the caller to close after its response
-// How often it is looked at whether a caller takes its response.
-constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
+// For the caller to close its end after its response.
+constexpr auto kLingerTimeout = std::chrono::milliseconds(1000);
 constexpr int kBacklog = 128;
 
 }  // namespace
@@ -53,7 +51,7 @@
   }
 
   void ScheduleWriteCheck() {
-    timer_.Start(kWriteCheckInterval, [self = shared_from_this(), this] {
+    timer_.Start(kSendCheckInterval, [self = shared_from_this(), this] {
       send_watch_.IsTooSlow(socket_, Clock::now()) ? Close() : ScheduleWriteCheck();
     });
   }
--- a/src/net/backend_connection.cpp
+++ b/src/net/backend_connection.cpp
@@ -24,8 +24,6 @@
 constexpr auto kReuseDelay = std::chrono::milliseconds(10);
 // A streamed response without progress for this long counts as aborted.
 constexpr auto kStallTimeout = std::chrono::seconds(10);
-// How often it is looked at whether a backend takes a streamed request.
-constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
 // How long after its deadline a small response that has begun may complete: half of the lateness that the
 // platform allows for a final response.
 constexpr auto kLateResponseGrace = std::chrono::milliseconds(250);
@@ -133,9 +131,7 @@
   WaitUntil(HasResponseDeadline() ? std::min(when, ResponseDueAt()) : when);
 }
 
-void BackendConnection::WaitForUpload() {
-  WaitUntil(std::min(deadline_, Clock::now() + kWriteCheckInterval));
-}
+void BackendConnection::WaitForUpload() { WaitUntil(std::min(deadline_, Clock::now() + kSendCheckInterval)); }
 
 void BackendConnection::OnTimer() {
   if (!busy_) return RemoveAndClose();
--- a/src/net/client_connection_responses.cpp
+++ b/src/net/client_connection_responses.cpp
@@ -8,8 +8,6 @@
 namespace lemonchute::net {
 namespace {
 
-// How often it is looked at whether a client takes its response.
-constexpr auto kWriteCheckInterval = std::chrono::milliseconds(500);
 constexpr size_t kMaxIdleBufferBytes = 1024;  // that an idle connection keeps
 
 }  // namespace
@@ -131,7 +129,7 @@
 }
 
 void ClientConnection::ScheduleWriteCheck() {
-  timer_.Start(kWriteCheckInterval, [self = shared_from_this(), this] { CheckWrite(); });
+  timer_.Start(kSendCheckInterval, [self = shared_from_this(), this] { CheckWrite(); });
 }
 
 void ClientConnection::CheckWrite() {
--- a/src/net/send_progress.h
+++ b/src/net/send_progress.h
@@ -6,9 +6,9 @@
 
 namespace lemonchute::net {
 
-/// A snapshot of the sending direction of a TCP socket, as the kernel sees it. A socket that accepts no
-/// further bytes says nothing about the peer: it becomes writable only once a third of its send buffer, which
-/// grows to megabytes, is free.
+/// A snapshot of the sending direction of a TCP socket, as the kernel sees it. Whether the socket
+/// is writable says little about the peer: it is so only while a third of its send buffer, which grows to
+/// megabytes, is free.
 struct SendProgress {
   uint64_t acknowledged_bytes = 0;  ///< Taken by the peer's system since the connection was opened.
   uint64_t waiting_bytes = 0;       ///< In the send buffer: not acknowledged, whether sent or not.
--- a/src/net/send_watch.h
+++ b/src/net/send_watch.h
@@ -2,6 +2,7 @@
 #ifndef LEMONCHUTE_NET_SEND_WATCH_H_
 #define LEMONCHUTE_NET_SEND_WATCH_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -12,6 +13,9 @@
 
 namespace lemonchute::net {
 
+/// How often SendWatch::IsTooSlow is to be asked while a write waits.
+inline constexpr auto kSendCheckInterval = std::chrono::milliseconds(500);
+
 /// Watches one message on a socket. The peer has to take it at the rate of PeerRate while a write waits for
 /// the socket; other time isn't counted. What was written before and still waits in the send buffer is taken
 /// first and counts as well.
